Lay out the workspace and its seams

Cause: the work fans out over separate crates, which need settled ids, error kinds, ports and tarpc services first. Conclusion: programs can be written in parallel against these borders.

--- /dev/null
+++ b/crates/amaranth-config/src/lib.rs
@@ -0,0 +1,1 @@
+//! The crate is under construction.
--- /dev/null
+++ b/crates/amaranth-control/src/lib.rs
@@ -0,0 +1,8 @@
+//! Outcomes and membership as state machines without I/O.
+//!
+//! [`answer_buffer`] keeps an agent's answers until they are acknowledged; [`claim_record`] and
+//! [`claim_ledger`] rule which non-idempotent call may run.
+
+pub mod answer_buffer;
+pub mod claim_ledger;
+pub mod claim_record;
--- /dev/null
+++ b/crates/amaranth-core/src/ids.rs
@@ -0,0 +1,305 @@
+//! Identifiers as newtypes with `Display` and `FromStr`.
+
+use std::fmt;
+use std::str::FromStr;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+
+use crate::errors::{Error, ErrorKind, Result};
+
+/// Longest accepted name, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Checks that `text` is a name: ASCII letters, digits, `-`, `_`, `.` and `/`.
+fn check_name(role: &str, text: &str) -> Result<()> {
+    if text.is_empty() || text.len() > MAX_NAME_BYTES {
+        return Err(Error::new(
+            ErrorKind::InvalidRequest,
+            format!("{role} must have 1 to {MAX_NAME_BYTES} bytes"),
+        ));
+    }
+    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_./".contains(&byte);
+    if text.bytes().all(allowed) {
+        return Ok(());
+    }
+    Err(Error::new(
+        ErrorKind::InvalidRequest,
+        format!("{role} {text:?} may hold letters, digits and - _ . / only"),
+    ))
+}
+
+macro_rules! name_type {
+    ($(#[$meta:meta])* $name:ident, $role:literal) => {
+        $(#[$meta])*
+        #[derive(
+            Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+        )]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                check_name($role, text)?;
+                Ok(Self(Arc::from(text)))
+            }
+        }
+    };
+}
+
+name_type!(
+    /// The name of a LoRA adapter, without a version.
+    AdapterName, "adapter"
+);
+name_type!(
+    /// The name of a base model.
+    ModelName, "model"
+);
+name_type!(
+    /// The name of a plain service.
+    ServiceName, "service"
+);
+name_type!(
+    /// The name of an endpoint: one engine or one instance of a plain service.
+    EndpointId, "endpoint"
+);
+name_type!(
+    /// The name of a data centre.
+    DataCentreName, "data centre"
+);
+name_type!(
+    /// The name of a region, which holds one or more data centres.
+    RegionName, "region"
+);
+name_type!(
+    /// The name of a caller, as its credentials or header state it.
+    CallerId, "caller"
+);
+name_type!(
+    /// The name of a VM.
+    VmId, "vm"
+);
+name_type!(
+    /// The name of a process of the system that survives its restarts.
+    ProcessId, "process"
+);
+
+macro_rules! number_type {
+    ($(#[$meta:meta])* $name:ident, $role:literal) => {
+        $(#[$meta])*
+        #[derive(
+            Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// Returns the next number.
+            #[must_use]
+            pub const fn next(self) -> Self {
+                Self(self.0 + 1)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(formatter, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                text.parse().map(Self).map_err(|_| {
+                    Error::new(
+                        ErrorKind::InvalidRequest,
+                        format!("{} {text:?} is not a whole number", $role),
+                    )
+                })
+            }
+        }
+    };
+}
+
+number_type!(
+    /// The version of an adapter, counted from 1 by its operators.
+    AdapterVersion, "adapter version"
+);
+number_type!(
+    /// One life of a process. It is drawn at random when the process starts.
+    Incarnation, "incarnation"
+);
+number_type!(
+    /// The number of an accepted configuration change. Zero is the empty configuration.
+    ConfigRevision, "configuration revision"
+);
+number_type!(
+    /// The position of a record in one stream of the log.
+    LogOffset, "log offset"
+);
+number_type!(
+    /// The number that an order to an engine carries; a larger one supersedes a smaller one.
+    FencingToken, "fencing token"
+);
+number_type!(
+    /// The position of a chunk in one answer, counted from 0.
+    Sequence, "sequence"
+);
+
+impl From<LogOffset> for FencingToken {
+    fn from(offset: LogOffset) -> Self {
+        Self(offset.0)
+    }
+}
+
+/// The position of one record within a batch that one log append carries.
+///
+/// It identifies a claim: claims compare by it, and the smallest one for a free key wins.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct ClaimId {
+    /// The offset of the batch.
+    pub offset: LogOffset,
+    /// The index within the batch.
+    pub index: u16,
+}
+
+impl fmt::Display for ClaimId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}.{}", self.offset, self.index)
+    }
+}
+
+impl FromStr for ClaimId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let malformed = || {
+            Error::new(
+                ErrorKind::InvalidRequest,
+                format!("claim id {text:?} is not \"offset.index\""),
+            )
+        };
+        let (offset, index) = text.split_once('.').ok_or_else(malformed)?;
+        Ok(Self {
+            offset: offset.parse()?,
+            index: index.parse().map_err(|_| malformed())?,
+        })
+    }
+}
+
+/// One version of one adapter, written `name@version`.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct AdapterRef {
+    /// The adapter.
+    pub name: AdapterName,
+    /// Its version.
+    pub version: AdapterVersion,
+}
+
+impl fmt::Display for AdapterRef {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}", self.name, self.version)
+    }
+}
+
+impl FromStr for AdapterRef {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let (name, version) = text.split_once('@').ok_or_else(|| {
+            Error::new(
+                ErrorKind::InvalidRequest,
+                format!("adapter {text:?} lacks \"@version\""),
+            )
+        })?;
+        Ok(Self {
+            name: name.parse()?,
+            version: version.parse()?,
+        })
+    }
+}
+
+/// The identity of one request, unique for good, written as 32 hexadecimal digits.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct RequestId(pub u128);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", self.0)
+    }
+}
+
+impl FromStr for RequestId {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        if text.len() == 32
+            && let Ok(number) = u128::from_str_radix(text, 16)
+        {
+            return Ok(Self(number));
+        }
+        Err(Error::new(
+            ErrorKind::InvalidRequest,
+            format!("request id {text:?} is not 32 hexadecimal digits"),
+        ))
+    }
+}
+
+/// Longest accepted idempotency key, in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+
+/// The key under which a caller wants a non-idempotent call to run at most once.
+#[derive(
+    Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr,
+)]
+pub struct IdempotencyKey(Arc<str>);
+
+impl IdempotencyKey {
+    /// Returns the key as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Display for IdempotencyKey {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl FromStr for IdempotencyKey {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let visible = text.bytes().all(|byte| byte.is_ascii_graphic());
+        if text.is_empty() || text.len() > MAX_KEY_BYTES || !visible {
+            return Err(Error::new(
+                ErrorKind::InvalidRequest,
+                format!("idempotency key must be 1 to {MAX_KEY_BYTES} visible ASCII characters"),
+            ));
+        }
+        Ok(Self(Arc::from(text)))
+    }
+}
--- /dev/null
+++ b/crates/amaranth-core/src/time.rs
@@ -0,0 +1,77 @@
+//! Time as the decisions see it: a number handed in, never a clock that is read.
+
+use std::fmt;
+use std::ops::Add;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// A moment on the caller's monotonic clock, in microseconds since an arbitrary origin.
+///
+/// Timestamps of two processes are never compared.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct Timestamp(u64);
+
+impl Timestamp {
+    /// The origin of the clock.
+    pub const ZERO: Self = Self(0);
+
+    /// Creates a timestamp from microseconds since the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self(micros)
+    }
+
+    /// Creates a timestamp from milliseconds since the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns the microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the time from `earlier` to `self`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for Timestamp {
+    type Output = Self;
+
+    fn add(self, delay: Duration) -> Self {
+        let micros = u64::try_from(delay.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl fmt::Display for Timestamp {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}us", self.0)
+    }
+}
+
+/// A monotonic clock that yields [`Timestamp`]s counted from its creation.
+///
+/// Programs own one; decisions never do.
+#[derive(Debug, Clone, Copy)]
+pub struct MonotonicClock {
+    origin: std::time::Instant,
+}
+
+impl MonotonicClock {
+    /// Starts a clock whose origin is now.
+    pub fn start() -> Self {
+        Self {
+            origin: std::time::Instant::now(),
+        }
+    }
+
+    /// Returns the time since the origin.
+    pub fn now(&self) -> Timestamp {
+        Timestamp::ZERO + self.origin.elapsed()
+    }
+}
--- /dev/null
+++ b/crates/amaranth-placement/src/lib.rs
@@ -0,0 +1,10 @@
+//! Decisions on where requests run and which adapters engines hold.
+//!
+//! Every decision is a state machine: it is handed the time and an event and returns commands.
+//! Nothing here does I/O, reads a clock or draws random numbers.
+//!
+//! [`router`] runs in an entry and ranks endpoints; [`planner`] runs in an agent, one for each
+//! engine, and owns its queue, loads, evictions and pins.
+
+pub mod planner;
+pub mod router;
--- /dev/null
+++ b/crates/amaranth-ports/src/http_client.rs
@@ -0,0 +1,1 @@
+//! The HTTP client that the port modules share.
--- /dev/null
+++ b/crates/amaranth-ports/src/http_log.rs
@@ -0,0 +1,1 @@
+//! The HTTP client of [`crate::log::LogPort`].
--- /dev/null
+++ b/crates/amaranth-ports/src/log.rs
@@ -0,0 +1,85 @@
+//! The platform's append-only log.
+
+use std::time::Duration;
+
+use amaranth_core::ids::LogOffset;
+use async_trait::async_trait;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use strum::{Display, EnumIter, EnumString, IntoStaticStr};
+
+use crate::errors::PortResult;
+
+/// A stream of the log that amaranthfield uses.
+#[derive(
+    Debug,
+    Clone,
+    Copy,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    Hash,
+    Serialize,
+    Deserialize,
+    Display,
+    EnumString,
+    EnumIter,
+    IntoStaticStr,
+)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+pub enum LogStream {
+    /// Configuration changes and snapshots.
+    Configuration,
+    /// Claims and outcomes of non-idempotent calls.
+    Claims,
+    /// Leases on engines.
+    Leases,
+}
+
+/// One record with its offset.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogRecord {
+    /// The position.
+    pub offset: LogOffset,
+    /// The bytes that were appended.
+    pub data: Bytes,
+}
+
+/// What one read returned.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct LogPage {
+    /// Records in the order of their offsets.
+    pub records: Vec<LogRecord>,
+    /// The oldest offset that the log still keeps.
+    pub first_kept: LogOffset,
+    /// The offset that the next append will get.
+    pub end: LogOffset,
+}
+
+/// Appends to and reads from the log.
+#[async_trait]
+pub trait LogPort: Send + Sync {
+    /// Appends one record and returns its offset.
+    ///
+    /// # Errors
+    ///
+    /// `Uncertain` when the record may stand in the log although no offset came back.
+    async fn append(&self, stream: LogStream, record: Bytes) -> PortResult<LogOffset>;
+
+    /// Reads at most `limit` records from `from` on, waiting up to `wait` for the first one.
+    ///
+    /// Records older than the retention are skipped; `LogPage::first_kept` shows it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the log can't be reached.
+    async fn read(
+        &self,
+        stream: LogStream,
+        from: LogOffset,
+        limit: usize,
+        wait: Duration,
+    ) -> PortResult<LogPage>;
+}
--- /dev/null
+++ b/crates/amaranth-wire/src/agent.rs
@@ -0,0 +1,91 @@
+//! The service of an agent.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranth_core::Result;
+use amaranth_core::ids::{ConfigRevision, RequestId, Sequence};
+use amaranth_core::membership::{EndpointReport, ProcessIdentity};
+use amaranth_core::request::{
+    AnswerBatch, CompletionRequest, ServiceAnswer, ServiceClaim, ServiceRequest,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::transport;
+
+/// Asks for the chunks of an answer and acknowledges those before `from`.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnswerRead {
+    /// The request.
+    pub id: RequestId,
+    /// The first sequence that the reader lacks.
+    pub from: Sequence,
+    /// How long to wait for a chunk before the agent replies with an empty batch.
+    pub wait: Duration,
+}
+
+/// What an agent knows of a claim.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimStanding {
+    /// It never came, and now never will run: the agent refuses it from here on.
+    Sealed,
+    /// It runs.
+    Running,
+    /// It ended with this answer.
+    Done(ServiceAnswer),
+    /// It was sent to the service and the answer was lost.
+    Unknown,
+}
+
+/// What an agent says of itself to operators.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AgentStatus {
+    /// The process.
+    pub identity: ProcessIdentity,
+    /// The configuration revision in force.
+    pub revision: ConfigRevision,
+    /// Whether the agent takes no new work.
+    pub leaving: bool,
+    /// Its endpoints.
+    pub endpoints: Vec<EndpointReport>,
+    /// Recent decisions, newest last, one line of key=value pairs each.
+    pub decisions: Vec<String>,
+}
+
+/// The calls that an agent answers.
+#[tarpc::service]
+pub trait AgentRpc {
+    /// Accepts a completion and returns its first chunks as soon as there are any.
+    ///
+    /// Repeating the call with the same request id attaches to the running answer.
+    async fn open_answer(request: CompletionRequest, wait: Duration) -> Result<AnswerBatch>;
+
+    /// Returns chunks of an answer, and acknowledges earlier ones.
+    async fn read_answer(read: AnswerRead) -> Result<AnswerBatch>;
+
+    /// Stops an answer that nobody waits for.
+    async fn cancel_answer(id: RequestId) -> Result<()>;
+
+    /// Calls a plain service. A call with a claim runs at most once.
+    async fn call_service(request: ServiceRequest) -> Result<ServiceAnswer>;
+
+    /// Returns what became of a claim, and seals it if it never came.
+    async fn settle_claim(claim: ServiceClaim) -> Result<ClaimStanding>;
+
+    /// Returns the agent's state.
+    async fn status() -> AgentStatus;
+
+    /// Stops admission for good; the agent ends when nothing is in flight.
+    async fn drain() -> Result<()>;
+}
+
+/// Connects to an agent within `timeout` and spawns its client.
+///
+/// # Errors
+///
+/// Returns an error when the agent can't be reached in time.
+pub async fn connect(address: SocketAddr, timeout: Duration) -> io::Result<AgentRpcClient> {
+    let transport = transport::connect(address, timeout).await?;
+    Ok(AgentRpcClient::new(tarpc::client::Config::default(), transport).spawn())
+}
