Name the agent's life in a service claim

An agent that restarted has forgotten what its former life ran, so it must neither run nor seal a claim of that life: sealing it would call a call that ran not run. The claim now names the incarnation, and the agent refuses others with Fenced.

--- a/crates/amaranth-core/src/request.rs
+++ b/crates/amaranth-core/src/request.rs
@@ -9,8 +9,8 @@
 
 use crate::errors::Error;
 use crate::ids::{
-    AdapterRef, CallerId, ClaimId, ConfigRevision, EndpointId, IdempotencyKey, ModelName,
-    RequestId, Sequence, ServiceName,
+    AdapterRef, CallerId, ClaimId, ConfigRevision, EndpointId, IdempotencyKey, Incarnation,
+    ModelName, RequestId, Sequence, ServiceName,
 };
 use crate::trace::TraceContext;
 use crate::units::TokenCount;
@@ -196,6 +196,9 @@
     pub key: IdempotencyKey,
     /// The claim record that won.
     pub id: ClaimId,
+    /// The only life of the agent that may run or seal the claim. An agent of another life
+    /// refuses both the call and the settling with `Fenced`: it can't know what became of it.
+    pub agent_incarnation: Incarnation,
 }
 
 /// The whole answer of a plain service.
--- a/crates/amaranth-wire/src/agent.rs
+++ b/crates/amaranth-wire/src/agent.rs
@@ -68,9 +68,14 @@
     async fn cancel_answer(id: RequestId) -> Result<()>;
 
     /// Calls a plain service. A call with a claim runs at most once.
+    ///
+    /// Fails with `Fenced`, and so without running it, if the claim was sealed or names another
+    /// incarnation of this agent.
     async fn call_service(request: ServiceRequest) -> Result<ServiceAnswer>;
 
     /// Returns what became of a claim, and seals it if it never came.
+    ///
+    /// Fails with `Fenced` if the claim names another incarnation of this agent.
     async fn settle_claim(claim: ServiceClaim) -> Result<ClaimStanding>;
 
     /// Returns the agent's state.
