Add the telemetry crate

Cause: every program needs the same command line, checked settings, logs, metrics, spans, health pages and shutdown signal. Ruled out: a tracing subscriber per program; hops carry their W3C context in the messages, so a span with a preset id suffices and costs nothing when it is not sampled.

--- /dev/null
+++ b/crates/amaranth-telemetry/src/logs.rs
@@ -0,0 +1,32 @@
+//! Logs: one line of key=value pairs for each event, on standard error.
+
+use std::time::SystemTime;
+
+use log::{Level, LevelFilter, Metadata};
+
+/// Installs the logger of the process.
+///
+/// # Errors
+///
+/// Returns an error if a logger is installed already.
+pub fn open(level: LevelFilter) -> Result<(), log::SetLoggerError> {
+    fern::Dispatch::new()
+        .format(|out, message, record| {
+            out.finish(format_args!(
+                "ts={} level={} target={} {}",
+                humantime::format_rfc3339_millis(SystemTime::now()),
+                record.level().as_str().to_ascii_lowercase(),
+                record.target(),
+                message
+            ));
+        })
+        .level(level)
+        .filter(|metadata| is_own(metadata) || metadata.level() <= Level::Warn)
+        .chain(std::io::stderr())
+        .apply()
+}
+
+/// Returns whether a line comes from a crate of amaranthfield rather than a library.
+fn is_own(metadata: &Metadata<'_>) -> bool {
+    metadata.target().starts_with("amaranth")
+}
--- /dev/null
+++ b/crates/amaranth-telemetry/src/spans.rs
@@ -0,0 +1,202 @@
+//! Spans: one for each hop of a request.
+//!
+//! With a collector in the settings, spans go to it over OTLP; otherwise each is one log line.
+
+use std::cell::Cell;
+use std::sync::OnceLock;
+use std::time::{Duration, Instant, SystemTime};
+
+use amaranth_core::trace::TraceContext;
+use opentelemetry::trace::{
+    SpanContext, SpanId, SpanKind, TraceContextExt, TraceFlags, TraceId, TraceState, Tracer,
+    TracerProvider,
+};
+use opentelemetry::{Context, KeyValue};
+use opentelemetry_otlp::{SpanExporter, WithExportConfig};
+use opentelemetry_sdk::Resource;
+use opentelemetry_sdk::trace::{IdGenerator, RandomIdGenerator, SdkTracer, SdkTracerProvider};
+
+/// Time that the last spans get to reach the collector when a program ends.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+
+static TRACER: OnceLock<SdkTracer> = OnceLock::new();
+
+thread_local! {
+    /// The id of the next span that this thread exports.
+    static PRESET_SPAN: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Gives an exported span the id under which its hop was announced to the next one.
+#[derive(Debug, Default)]
+struct PresetIds {
+    random: RandomIdGenerator,
+}
+
+impl IdGenerator for PresetIds {
+    fn new_trace_id(&self) -> TraceId {
+        self.random.new_trace_id()
+    }
+
+    fn new_span_id(&self) -> SpanId {
+        match PRESET_SPAN.take() {
+            0 => self.random.new_span_id(),
+            preset => SpanId::from_bytes(preset.to_be_bytes()),
+        }
+    }
+}
+
+/// Keeps the export of spans alive. [`SpanExport::close`] sends what is left.
+#[derive(Debug)]
+pub struct SpanExport {
+    provider: Option<SdkTracerProvider>,
+}
+
+/// The collector can't be used.
+#[derive(Debug, thiserror::Error)]
+#[error("collector {endpoint:?} can't be used: {reason}")]
+pub struct CollectorError {
+    endpoint: String,
+    reason: String,
+}
+
+/// Sends the spans of the process, named `program`, to the OTLP collector at `endpoint`.
+///
+/// Without an endpoint spans are logged.
+///
+/// # Errors
+///
+/// Returns an error when the endpoint is malformed.
+pub fn open(program: &'static str, endpoint: Option<&str>) -> Result<SpanExport, CollectorError> {
+    let Some(endpoint) = endpoint else {
+        return Ok(SpanExport { provider: None });
+    };
+    let exporter = SpanExporter::builder()
+        .with_http()
+        .with_endpoint(endpoint)
+        .build()
+        .map_err(|error| CollectorError {
+            endpoint: endpoint.to_owned(),
+            reason: error.to_string(),
+        })?;
+    let provider = SdkTracerProvider::builder()
+        .with_batch_exporter(exporter)
+        .with_id_generator(PresetIds::default())
+        .with_resource(Resource::builder().with_service_name(program).build())
+        .build();
+    // A second call in one process keeps the first tracer, as with other process-wide state.
+    let _ = TRACER.set(provider.tracer(program));
+    Ok(SpanExport {
+        provider: Some(provider),
+    })
+}
+
+impl SpanExport {
+    /// Sends the spans that are left.
+    pub fn close(self) {
+        let Some(provider) = self.provider else {
+            return;
+        };
+        if let Err(error) = provider.shutdown_with_timeout(FLUSH_TIMEOUT) {
+            log::warn!("event=spans_lost error={error:?}");
+        }
+    }
+}
+
+/// Returns the context of a request that came without one.
+pub fn new_trace() -> TraceContext {
+    let generator = RandomIdGenerator::default();
+    TraceContext {
+        trace_id: u128::from_be_bytes(generator.new_trace_id().to_bytes()),
+        span_id: u64::from_be_bytes(generator.new_span_id().to_bytes()),
+        sampled: true,
+    }
+}
+
+/// One hop of a request. It ends when it is dropped.
+#[derive(Debug)]
+pub struct HopSpan {
+    name: &'static str,
+    parent: TraceContext,
+    own: TraceContext,
+    started: Instant,
+    started_at: SystemTime,
+    attributes: Vec<KeyValue>,
+}
+
+impl HopSpan {
+    /// Starts a span below `parent`.
+    pub fn start(name: &'static str, parent: TraceContext) -> Self {
+        let generator = RandomIdGenerator::default();
+        let span_id = u64::from_be_bytes(generator.new_span_id().to_bytes());
+        Self {
+            name,
+            parent,
+            own: parent.child(span_id),
+            started: Instant::now(),
+            started_at: SystemTime::now(),
+            attributes: Vec::new(),
+        }
+    }
+
+    /// Returns the context that this hop passes on.
+    pub const fn context(&self) -> TraceContext {
+        self.own
+    }
+
+    /// Adds an attribute.
+    pub fn set(&mut self, key: &'static str, value: impl ToString) {
+        if self.own.sampled {
+            self.attributes.push(KeyValue::new(key, value.to_string()));
+        }
+    }
+
+    fn export(&mut self, tracer: &SdkTracer) {
+        let remote = SpanContext::new(
+            TraceId::from_bytes(self.parent.trace_id.to_be_bytes()),
+            SpanId::from_bytes(self.parent.span_id.to_be_bytes()),
+            TraceFlags::SAMPLED,
+            true,
+            TraceState::default(),
+        );
+        let parent = Context::new().with_remote_span_context(remote);
+        let span = tracer
+            .span_builder(self.name)
+            .with_kind(SpanKind::Server)
+            .with_start_time(self.started_at)
+            .with_attributes(std::mem::take(&mut self.attributes));
+        PRESET_SPAN.set(self.own.span_id);
+        drop(tracer.build_with_context(span, &parent));
+    }
+
+    fn write_line(&self) {
+        let attributes: String = self
+            .attributes
+            .iter()
+            .map(|pair| format!(" {}={}", pair.key, pair.value))
+            .collect();
+        log::debug!(
+            "event=span name={} trace={:032x} span={:016x} parent={:016x} duration_us={}{attributes}",
+            self.name,
+            self.own.trace_id,
+            self.own.span_id,
+            self.parent.span_id,
+            self.started.elapsed().as_micros(),
+        );
+    }
+}
+
+impl Drop for HopSpan {
+    fn drop(&mut self) {
+        if !self.own.sampled {
+            return;
+        }
+        match TRACER.get() {
+            Some(tracer) => {
+                let tracer = tracer.clone();
+                self.export(&tracer);
+            }
+            None if log::log_enabled!(log::Level::Debug) => self.write_line(),
+            None => {}
+        }
+    }
+}
