Dispatch the subcommands of the lab

Cause: several experiments are added to one program at the same time. Result: a subcommand is one line in commands.rs and a module of its own.

--- /dev/null
+++ b/crates/amaranth-lab/src/commands.rs
@@ -0,0 +1,42 @@
+//! The subcommands of `amaranth-lab`.
+
+use std::ffi::OsString;
+use std::process::ExitCode;
+
+use amaranth_telemetry::usage_exit;
+
+const HELP: &str = "\
+amaranth-lab: the demo and the experiments of amaranthfield, on loopback
+
+Usage: amaranth-lab COMMAND [OPTIONS]
+
+Commands:
+  demo      Runs both deployments' shapes and checks every promise
+  help      Prints this help
+
+Each command has its own --help.
+Exit status: 0 on success, 1 when a promise broke or a run failed, 2 for a bad command line.
+";
+
+/// Runs the subcommand that `arguments` name and returns the exit code.
+pub fn run(arguments: impl IntoIterator<Item = OsString>) -> ExitCode {
+    let mut rest = arguments.into_iter();
+    let Some(command) = rest.next() else {
+        eprint!("{HELP}");
+        return usage_exit();
+    };
+    match command.to_str() {
+        Some("help" | "--help" | "-h") => {
+            print!("{HELP}");
+            ExitCode::SUCCESS
+        }
+        Some("--version" | "-V") => {
+            println!("amaranth-lab {}", env!("CARGO_PKG_VERSION"));
+            ExitCode::SUCCESS
+        }
+        _ => {
+            eprintln!("amaranth-lab: unknown command {command:?}; see amaranth-lab help");
+            usage_exit()
+        }
+    }
+}
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -1,1 +1,3 @@
-//! The crate is under construction.
+//! The demo, the load generator and the experiments of amaranthfield, in one process on loopback.
+
+pub mod commands;
--- /dev/null
+++ b/crates/amaranth-lab/src/main.rs
@@ -0,0 +1,7 @@
+//! The demo, the load generator and the experiments of amaranthfield.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    amaranth_lab::commands::run(std::env::args_os().skip(1))
+}
