--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -1,3 +1,4 @@
 //! The demo, the load generator and the experiments of amaranthfield, in one process on loopback.
 
+pub mod checker;
 pub mod commands;
