--- /dev/null
+++ b/crates/amaranth-lab/src/caller.rs
@@ -0,0 +1,6 @@
+//! Callers: HTTP clients of an entry that parse answers as the usual client libraries do.
+
+pub mod client;
+pub mod completion;
+pub mod event_stream;
+pub mod service_call;
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -1,4 +1,5 @@
 //! The demo, the load generator and the experiments of amaranthfield, in one process on loopback.
 
+pub mod caller;
 pub mod checker;
 pub mod commands;
