Add the entry, thin: callers to agents and back

Completions and chat completions, streamed and whole, models, repeatable service calls and answers by request id, over kept tarpc connections that are replaced when they go silent. The cursor of an answer decides without I/O.

--- a/crates/amaranth-control/src/lib.rs
+++ b/crates/amaranth-control/src/lib.rs
@@ -4,5 +4,6 @@
 //! [`claim_ledger`] rule which non-idempotent call may run.
 
 pub mod answer_buffer;
+pub mod answer_cursor;
 pub mod claim_ledger;
 pub mod claim_record;
--- /dev/null
+++ b/crates/amaranth-entry/src/http/completions.rs
@@ -0,0 +1,334 @@
+//! Completions and chat completions, streamed and whole.
+
+use std::sync::Arc;
+
+use amaranth_core::errors::{Result, RunState, invalid_request};
+use amaranth_core::request::{CompletionApi, CompletionRequest};
+use amaranth_core::units::TokenCount;
+use amaranth_placement::router::RouteQuery;
+use amaranth_telemetry::spans::HopSpan;
+use axum::body::Body;
+use axum::extract::{Request, State};
+use axum::http::{HeaderValue, Response, header};
+use axum::response::IntoResponse;
+use bytes::Bytes;
+use futures::stream;
+use serde_json::{Map, Value, json};
+use smallvec::SmallVec;
+
+use super::api_errors::{AnswerLabels, ApiError, error_json};
+use super::request_head::{RequestHead, new_request_id, read_body};
+use super::whole_answers::WholeAnswer;
+use crate::answer_reader::AnswerReader;
+use crate::entry_state::{AdmittedRequest, EntryState};
+
+/// The last event of a whole stream.
+const DONE_EVENT: &[u8] = b"data: [DONE]\n\n";
+
+/// Bytes of a prompt that are counted as one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Tokens that a request generates if it states no limit.
+const DEFAULT_MAX_TOKENS: u32 = 1_024;
+
+/// Answers `POST /v1/completions`.
+pub async fn complete(State(state): State<Arc<EntryState>>, request: Request) -> Response<Body> {
+    serve(state, CompletionApi::Completions, request).await
+}
+
+/// Answers `POST /v1/chat/completions`.
+pub async fn complete_chat(
+    State(state): State<Arc<EntryState>>,
+    request: Request,
+) -> Response<Body> {
+    serve(state, CompletionApi::ChatCompletions, request).await
+}
+
+async fn serve(state: Arc<EntryState>, api: CompletionApi, request: Request) -> Response<Body> {
+    let mut labels = AnswerLabels {
+        request: new_request_id(),
+        revision: state.catalogue.load().revision,
+    };
+    let answered = answer(&state, api, request, &mut labels).await;
+    answered.unwrap_or_else(|error| {
+        log::info!(
+            "event=request_refused request={} kind={}",
+            labels.request,
+            error.kind
+        );
+        metrics::counter!("amaranth_entry_refusals_total", "kind" => <&str>::from(error.kind))
+            .increment(1);
+        ApiError { labels, error }.into_response()
+    })
+}
+
+/// An accepted completion on its way.
+pub struct OpenedAnswer {
+    reader: AnswerReader,
+    _span: Option<HopSpan>,
+    _admitted: AdmittedRequest,
+}
+
+impl OpenedAnswer {
+    /// Holds the reader of an answer with the place of its request at the gate.
+    pub const fn new(reader: AnswerReader, admitted: AdmittedRequest) -> Self {
+        Self {
+            reader,
+            _span: None,
+            _admitted: admitted,
+        }
+    }
+}
+
+async fn answer(
+    state: &Arc<EntryState>,
+    api: CompletionApi,
+    request: Request,
+    labels: &mut AnswerLabels,
+) -> Result<Response<Body>> {
+    let admitted = state.gate.enter(state.settings.limits.max_in_flight)?;
+    let (parts, body) = request.into_parts();
+    let head = RequestHead::read(&parts.headers, &state.settings.limits)?;
+    let mut span = HopSpan::start("entry", head.trace);
+    span.set("request", labels.request);
+    let body = read_body(&parts.headers, body, &state.settings.limits).await?;
+    let parsed = ParsedBody::parse(api, body)?;
+    let (request, reader) = open_reader(state, api, &head, &parsed, &span, labels)?;
+    span.set("model", &request.target);
+    let mut opened = OpenedAnswer::new(reader, admitted);
+    opened._span = Some(span);
+    if parsed.streamed {
+        stream_answer(opened, *labels, RunState::Run).await
+    } else {
+        whole_answer(opened, api, *labels).await
+    }
+}
+
+/// The members of a body that the entry looks at.
+struct ParsedBody {
+    model: String,
+    streamed: bool,
+    max_tokens: TokenCount,
+    prompt_tokens: TokenCount,
+    body: Bytes,
+}
+
+impl ParsedBody {
+    fn parse(api: CompletionApi, body: Bytes) -> Result<Self> {
+        let parsed = serde_json::from_slice(&body)
+            .map_err(|error| invalid_request(format!("the body is not JSON: {error}")))?;
+        let Value::Object(mut members) = parsed else {
+            return Err(invalid_request("the body is not a JSON object"));
+        };
+        let model = match members.get("model") {
+            Some(Value::String(model)) => model.clone(),
+            Some(_) => return Err(invalid_request("\"model\" is not a string")),
+            None => return Err(invalid_request("\"model\" is missing")),
+        };
+        let streamed = match members.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(Value::Bool(streamed)) => *streamed,
+            Some(_) => return Err(invalid_request("\"stream\" is neither true nor false")),
+        };
+        check_prompt(api, &members)?;
+        let max_tokens = max_tokens(&members)?;
+        let prompt_tokens = body.len() / BYTES_PER_TOKEN;
+        let body = if streamed {
+            body
+        } else {
+            ask_for_usage(&mut members)
+        };
+        Ok(Self {
+            model,
+            streamed,
+            max_tokens,
+            prompt_tokens: TokenCount(u32::try_from(prompt_tokens).unwrap_or(u32::MAX)),
+            body,
+        })
+    }
+}
+
+fn check_prompt(api: CompletionApi, members: &Map<String, Value>) -> Result<()> {
+    match api {
+        CompletionApi::Completions => match members.get("prompt") {
+            Some(Value::String(_) | Value::Array(_)) => Ok(()),
+            Some(_) => Err(invalid_request(
+                "\"prompt\" is neither a string nor an array",
+            )),
+            None => Err(invalid_request("\"prompt\" is missing")),
+        },
+        CompletionApi::ChatCompletions => match members.get("messages") {
+            Some(Value::Array(messages)) if !messages.is_empty() => Ok(()),
+            Some(_) => Err(invalid_request(
+                "\"messages\" is not an array with a message",
+            )),
+            None => Err(invalid_request("\"messages\" is missing")),
+        },
+    }
+}
+
+fn max_tokens(members: &Map<String, Value>) -> Result<TokenCount> {
+    for name in ["max_completion_tokens", "max_tokens"] {
+        match members.get(name) {
+            None | Some(Value::Null) => {}
+            Some(value) => {
+                return value
+                    .as_u64()
+                    .and_then(|count| u32::try_from(count).ok())
+                    .map(TokenCount)
+                    .ok_or_else(|| invalid_request(format!("{name:?} is not a token count")));
+            }
+        }
+    }
+    Ok(TokenCount(DEFAULT_MAX_TOKENS))
+}
+
+/// Makes the engine report usage in its stream, because a whole answer states it.
+fn ask_for_usage(members: &mut Map<String, Value>) -> Bytes {
+    let options = json!({"include_usage": true});
+    members.insert("stream_options".to_owned(), options);
+    serde_json::to_vec(members)
+        .map(Bytes::from)
+        .expect("a JSON value has string keys only")
+}
+
+fn open_reader(
+    state: &Arc<EntryState>,
+    api: CompletionApi,
+    head: &RequestHead,
+    parsed: &ParsedBody,
+    span: &HopSpan,
+    labels: &mut AnswerLabels,
+) -> Result<(CompletionRequest, AnswerReader)> {
+    let revised = state.catalogue.load_full();
+    labels.revision = revised.revision;
+    let target = revised
+        .catalogue
+        .resolve_model(&parsed.model, &head.caller)?;
+    let query = RouteQuery {
+        target: target.clone(),
+        excluded: SmallVec::new(),
+    };
+    let directory = state.directory.load_full();
+    let (handle, reason) = directory.route(state.clock.now(), &query)?;
+    state.decisions.note(format!(
+        "event=request_routed request={} model={target} revision={} endpoint={} reason={reason}",
+        labels.request, revised.revision, handle.endpoint
+    ));
+    let request = CompletionRequest {
+        id: labels.request,
+        endpoint: handle.endpoint.clone(),
+        target,
+        revision: revised.revision,
+        api,
+        body: parsed.body.clone(),
+        caller: head.caller.clone(),
+        priority: head.priority,
+        time_left: head.time_left(),
+        prompt_tokens: parsed.prompt_tokens,
+        max_tokens: parsed.max_tokens,
+        trace: span.context(),
+    };
+    let reader = AnswerReader::open(Arc::clone(state), request.clone(), &handle, head.deadline);
+    Ok((request, reader))
+}
+
+/// Streams an answer as server-sent events. The first chunk is awaited, so that an answer that
+/// never begins is refused with a status.
+///
+/// # Errors
+///
+/// Returns the error of an answer that breaks off before its first chunk.
+pub async fn stream_answer(
+    mut opened: OpenedAnswer,
+    labels: AnswerLabels,
+    run: RunState,
+) -> Result<Response<Body>> {
+    let first = opened.reader.next_chunks().await?;
+    let mut text = Vec::new();
+    let phase = match first {
+        Some(chunks) => {
+            for chunk in &chunks {
+                write_event(&mut text, &chunk.data);
+            }
+            StreamPhase::Open(Box::new(opened))
+        }
+        None => {
+            text.extend_from_slice(DONE_EVENT);
+            StreamPhase::Ended
+        }
+    };
+    let head = stream::once(async move { Ok::<_, std::convert::Infallible>(Bytes::from(text)) });
+    let rest = stream::unfold(phase, next_events);
+    let body = Body::from_stream(futures::StreamExt::chain(head, rest));
+    let mut response = Response::new(body);
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("text/event-stream"),
+    );
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-cache"));
+    labels.write(run, headers);
+    Ok(response)
+}
+
+enum StreamPhase {
+    Open(Box<OpenedAnswer>),
+    Ended,
+}
+
+type StreamedEvents = std::result::Result<Bytes, std::convert::Infallible>;
+
+/// Reads on only when the caller has taken what came before, which bounds the memory of a slow
+/// caller at the agent's buffer.
+async fn next_events(phase: StreamPhase) -> Option<(StreamedEvents, StreamPhase)> {
+    let StreamPhase::Open(mut opened) = phase else {
+        return None;
+    };
+    let mut text = Vec::new();
+    match opened.reader.next_chunks().await {
+        Ok(Some(chunks)) => {
+            for chunk in &chunks {
+                write_event(&mut text, &chunk.data);
+            }
+            Some((Ok(text.into()), StreamPhase::Open(opened)))
+        }
+        Ok(None) => {
+            text.extend_from_slice(DONE_EVENT);
+            Some((Ok(text.into()), StreamPhase::Ended))
+        }
+        Err(error) => {
+            log::warn!("event=answer_broken kind={} cause={error}", error.kind);
+            write_event(&mut text, &error_json(&error));
+            Some((Ok(text.into()), StreamPhase::Ended))
+        }
+    }
+}
+
+fn write_event(text: &mut Vec<u8>, data: &[u8]) {
+    text.extend_from_slice(b"data: ");
+    text.extend_from_slice(data);
+    text.extend_from_slice(b"\n\n");
+}
+
+/// Collects an answer and returns it whole.
+async fn whole_answer(
+    mut opened: OpenedAnswer,
+    api: CompletionApi,
+    labels: AnswerLabels,
+) -> Result<Response<Body>> {
+    let mut whole = WholeAnswer::open(api);
+    while let Some(chunks) = opened.reader.next_chunks().await? {
+        for chunk in &chunks {
+            whole.push(&chunk.data)?;
+        }
+    }
+    let mut response = Response::new(Body::from(whole.finish()));
+    let headers = response.headers_mut();
+    headers.insert(
+        header::CONTENT_TYPE,
+        HeaderValue::from_static("application/json"),
+    );
+    labels.write(RunState::Run, headers);
+    Ok(response)
+}
--- /dev/null
+++ b/crates/amaranth-entry/src/http/models.rs
@@ -0,0 +1,87 @@
+//! The list of models that callers may name.
+
+use std::sync::Arc;
+
+use amaranth_core::errors::{Error, not_found};
+use amaranth_core::ids::CallerId;
+use axum::Json;
+use axum::body::Body;
+use axum::extract::{OriginalUri, Path, State};
+use axum::http::Response;
+use axum::response::IntoResponse;
+use serde::Serialize;
+
+use super::api_errors::{AnswerLabels, ApiError};
+use super::request_head::new_request_id;
+use crate::entry_state::EntryState;
+
+#[derive(Serialize)]
+struct ModelList {
+    object: &'static str,
+    data: Vec<ModelObject>,
+}
+
+#[derive(Serialize)]
+struct ModelObject {
+    id: String,
+    object: &'static str,
+    created: u64,
+    owned_by: &'static str,
+}
+
+impl ModelObject {
+    fn new(id: String) -> Self {
+        Self {
+            id,
+            object: "model",
+            created: 0,
+            owned_by: "amaranthfield",
+        }
+    }
+}
+
+/// Answers `GET /v1/models`.
+pub async fn list(State(state): State<Arc<EntryState>>) -> Response<Body> {
+    let models = state.catalogue.load().catalogue.models();
+    let list = ModelList {
+        object: "list",
+        data: models.into_iter().map(ModelObject::new).collect(),
+    };
+    Json(list).into_response()
+}
+
+/// Answers `GET /v1/models/{model}`.
+pub async fn show(
+    State(state): State<Arc<EntryState>>,
+    Path(model): Path<String>,
+) -> Response<Body> {
+    let anyone: CallerId = "anonymous".parse().expect("the word is a name");
+    match state
+        .catalogue
+        .load()
+        .catalogue
+        .resolve_model(&model, &anyone)
+    {
+        Ok(_) => Json(ModelObject::new(model)).into_response(),
+        Err(error) => refuse(&state, error),
+    }
+}
+
+/// Answers a path that does not exist.
+pub async fn unknown_path(
+    State(state): State<Arc<EntryState>>,
+    OriginalUri(uri): OriginalUri,
+) -> Response<Body> {
+    refuse(
+        &state,
+        not_found(format!("path {:?} does not exist", uri.path())),
+    )
+}
+
+fn refuse(state: &EntryState, error: Error) -> Response<Body> {
+    let labels = AnswerLabels {
+        request: new_request_id(),
+        revision: state.catalogue.load().revision,
+    };
+    ApiError { labels, error }.into_response()
+}
--- a/crates/amaranth-entry/src/lib.rs
+++ b/crates/amaranth-entry/src/lib.rs
@@ -1,1 +1,20 @@
-//! The crate is under construction.
+//! The entry: meets callers over HTTP, resolves what they name, routes to agents, claims
+//! non-idempotent calls and resumes broken answers.
+//!
+//! [`process::EntryProcess`] is a running entry. Its control thread owns the directory of agents
+//! and publishes snapshots; the [`http`] routes read them and pull answers from agents.
+
+pub mod agent_link;
+pub mod answer_reader;
+pub mod control_thread;
+pub mod decision_log;
+pub mod directory;
+pub mod entry_state;
+pub mod http;
+pub mod peer_service;
+pub mod process;
+pub mod request_catalogue;
+pub mod settings;
+
+pub use process::{EntryPorts, EntryProcess};
+pub use settings::EntrySettings;
--- /dev/null
+++ b/crates/amaranth-entry/src/main.rs
@@ -0,0 +1,72 @@
+//! The program `amaranth-entry`.
+
+use std::process::ExitCode;
+
+use amaranth_entry::{EntryPorts, EntryProcess, EntrySettings};
+use amaranth_telemetry::arguments::{ProgramArguments, ProgramInfo};
+use amaranth_telemetry::shutdown::ShutdownSignal;
+use amaranth_telemetry::{logs, metrics, settings, usage_exit};
+use log::LevelFilter;
+use miette::{IntoDiagnostic, Report};
+
+const INFO: ProgramInfo = ProgramInfo {
+    name: "amaranth-entry",
+    version: env!("CARGO_PKG_VERSION"),
+    about: "Meets callers over HTTP and routes their requests to the agents beside the endpoints.",
+    example: include_str!("../settings.example.toml"),
+};
+
+fn main() -> ExitCode {
+    let arguments = match ProgramArguments::parse(&INFO, std::env::args_os().skip(1)) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("{}: {error}", INFO.name);
+            return usage_exit();
+        }
+    };
+    let (path, check) = match arguments {
+        ProgramArguments::Print(text) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        ProgramArguments::Run { settings, check } => (settings, check),
+    };
+    let settings: EntrySettings = match settings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{:?}", Report::new(error));
+            return usage_exit();
+        }
+    };
+    if check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn run(settings: EntrySettings) -> miette::Result<()> {
+    logs::open(LevelFilter::Info).into_diagnostic()?;
+    let metrics = metrics::open().into_diagnostic()?;
+    let mut signal = ShutdownSignal::listen().into_diagnostic()?;
+    let ports = EntryPorts {
+        metrics,
+        ..EntryPorts::default()
+    };
+    let mut process = EntryProcess::spawn_with(settings, ports)
+        .await
+        .into_diagnostic()?;
+    let cause = tokio::select! {
+        name = signal.wait() => name,
+        () = process.drain_requested() => "operator",
+    };
+    log::info!("event=stop_requested cause={cause}");
+    process.drain().await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/amaranth-entry/src/process.rs
@@ -0,0 +1,316 @@
+//! A running entry.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use amaranth_core::errors::{Error, ErrorKind, Result};
+use amaranth_core::ids::Incarnation;
+use amaranth_core::membership::ProcessIdentity;
+use amaranth_core::time::MonotonicClock;
+use amaranth_ports::log::LogPort;
+use amaranth_telemetry::admin::{self, AdminHandle, ReadyFlag};
+use amaranth_telemetry::metrics::{self, MetricsHandle};
+use amaranth_wire::entry::EntryRpc;
+use amaranth_wire::transport::{self, ServerHandle};
+use axum::serve::ListenerExt;
+use futures::StreamExt;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::{mpsc, watch};
+use tokio_util::sync::CancellationToken;
+
+use crate::control_thread::{self, CONTROL_QUEUE, ControlEvent};
+use crate::decision_log::DecisionLog;
+use crate::directory::DirectoryOwner;
+use crate::entry_state::{AdmissionGate, EntryState};
+use crate::http;
+use crate::peer_service::PeerService;
+use crate::request_catalogue::{CurrentCatalogue, open_empty};
+use crate::settings::EntrySettings;
+
+/// Time that answers get to leave after the last request ended.
+const CLOSING_TIME: Duration = Duration::from_secs(5);
+
+/// What an entry reaches the outside with.
+#[derive(Clone)]
+pub struct EntryPorts {
+    /// The platform's log.
+    pub log: Option<Arc<dyn LogPort>>,
+    /// The configuration in force.
+    pub catalogue: CurrentCatalogue,
+    /// Where `/metrics` reads from.
+    pub metrics: MetricsHandle,
+}
+
+impl Default for EntryPorts {
+    fn default() -> Self {
+        Self {
+            log: None,
+            catalogue: open_empty(),
+            metrics: metrics::detached(),
+        }
+    }
+}
+
+/// A running entry. Dropping it ends it abruptly.
+pub struct EntryProcess {
+    state: Arc<EntryState>,
+    traffic: Option<Runtime>,
+    http_address: SocketAddr,
+    http_closing: CancellationToken,
+    http_closed: watch::Receiver<bool>,
+    peers: ServerHandle,
+    admin: AdminHandle,
+    drain: watch::Receiver<bool>,
+}
+
+impl EntryProcess {
+    /// Starts an entry and returns when it listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address can't be bound.
+    pub async fn spawn(settings: EntrySettings) -> Result<Self> {
+        Self::spawn_with(settings, EntryPorts::default()).await
+    }
+
+    /// Starts an entry that reaches the outside through `ports`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address can't be bound.
+    pub async fn spawn_with(settings: EntrySettings, ports: EntryPorts) -> Result<Self> {
+        let traffic = traffic_runtime(settings.traffic_threads).map_err(start_failed)?;
+        let handle = traffic.handle().clone();
+        let starting = handle.spawn(start(settings, ports, handle.clone()));
+        let started = match starting.await {
+            Ok(started) => started,
+            Err(error) => Err(start_failed(io::Error::other(error))),
+        };
+        match started {
+            Ok(parts) => Ok(parts.into_process(traffic)),
+            Err(error) => {
+                traffic.shutdown_background();
+                Err(error)
+            }
+        }
+    }
+
+    /// Returns where callers are served.
+    pub const fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Returns where agents and other entries are served.
+    pub const fn peer_address(&self) -> SocketAddr {
+        self.peers.address()
+    }
+
+    /// Returns where health and metrics are served.
+    pub const fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// Returns whether the entry has caught up and takes requests.
+    pub fn is_ready(&self) -> bool {
+        self.state.ready.get()
+    }
+
+    /// Returns when an operator asked for the entry to stop.
+    pub async fn drain_requested(&mut self) {
+        // An error means that the tarpc service is gone, and with it whoever could ask.
+        if self.drain.wait_for(|asked| *asked).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+
+    /// Stops admission, finishes what is in flight and ends.
+    pub async fn drain(mut self) {
+        self.state.ready.set(false);
+        self.state.gate.leave();
+        log::info!(
+            "event=drain_started process={} in_flight={}",
+            self.state.identity.process,
+            self.state.gate.in_flight()
+        );
+        self.state.gate.emptied().await;
+        self.http_closing.cancel();
+        let closed = self.http_closed.wait_for(|closed| *closed);
+        if tokio::time::timeout(CLOSING_TIME, closed).await.is_err() {
+            log::warn!("event=connections_left_open");
+        }
+        log::info!("event=drain_ended process={}", self.state.identity.process);
+    }
+
+    /// Ends all tasks and closes all sockets at once, as a crash would.
+    pub fn kill(self) {
+        drop(self);
+    }
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+    }
+}
+
+fn start_failed(error: io::Error) -> Error {
+    Error::new(
+        ErrorKind::Internal,
+        format!("the entry can't start: {error}"),
+    )
+}
+
+fn traffic_runtime(threads: usize) -> io::Result<Runtime> {
+    let mut builder = tokio::runtime::Builder::new_multi_thread();
+    if threads > 0 {
+        builder.worker_threads(threads);
+    }
+    builder.thread_name("entry-traffic").enable_all().build()
+}
+
+/// What was started, but for the runtime it runs on.
+struct StartedParts {
+    state: Arc<EntryState>,
+    http_address: SocketAddr,
+    http_closing: CancellationToken,
+    http_closed: watch::Receiver<bool>,
+    peers: ServerHandle,
+    admin: AdminHandle,
+    drain: watch::Receiver<bool>,
+}
+
+impl StartedParts {
+    fn into_process(self, traffic: Runtime) -> EntryProcess {
+        EntryProcess {
+            state: self.state,
+            traffic: Some(traffic),
+            http_address: self.http_address,
+            http_closing: self.http_closing,
+            http_closed: self.http_closed,
+            peers: self.peers,
+            admin: self.admin,
+            drain: self.drain,
+        }
+    }
+}
+
+async fn start(
+    settings: EntrySettings,
+    ports: EntryPorts,
+    traffic: tokio::runtime::Handle,
+) -> Result<StartedParts> {
+    let bound = |address: SocketAddr| {
+        move |error: io::Error| start_failed(io::Error::other(format!("{address}: {error}")))
+    };
+    let ready = ReadyFlag::default();
+    let admin = admin::bind(settings.admin_address, ports.metrics, ready.clone())
+        .await
+        .map_err(bound(settings.admin_address))?;
+    let listener = TcpListener::bind(settings.http_address)
+        .await
+        .map_err(bound(settings.http_address))?;
+    let http_address = listener.local_addr().map_err(start_failed)?;
+    let directory = DirectoryOwner::open(settings.peers);
+    let (control, events) = mpsc::channel(CONTROL_QUEUE);
+    let (drain_asked, drain) = watch::channel(false);
+    let identity = ProcessIdentity {
+        process: settings.process.clone(),
+        incarnation: Incarnation(rand::random()),
+        address: settings.peer_address,
+        data_centre: settings.data_centre.clone(),
+        region: settings.region.clone(),
+    };
+    let state = Arc::new(EntryState {
+        identity,
+        clock: MonotonicClock::start(),
+        directory: directory.published(),
+        catalogue: ports.catalogue,
+        decisions: DecisionLog::default(),
+        ready,
+        traffic,
+        gate: Arc::new(AdmissionGate::default()),
+        settings,
+    });
+    let service = PeerService::open(Arc::clone(&state), control, drain_asked);
+    let peers = bind_peers(&state, service).await?;
+    run_control(Arc::clone(&state), directory, events).map_err(start_failed)?;
+    let http_closing = CancellationToken::new();
+    let http_closed = serve_callers(&state, listener, http_closing.clone());
+    state.ready.set(true);
+    log::info!(
+        "event=entry_started process={} incarnation={} http={http_address} peers={} admin={}",
+        state.identity.process,
+        state.identity.incarnation,
+        peers.address(),
+        admin.address()
+    );
+    Ok(StartedParts {
+        state,
+        http_address,
+        http_closing,
+        http_closed,
+        peers,
+        admin,
+        drain,
+    })
+}
+
+async fn bind_peers(state: &EntryState, service: PeerService) -> Result<ServerHandle> {
+    let address = state.settings.peer_address;
+    let bound = transport::bind(address, move |transport| {
+        BaseChannel::with_defaults(transport)
+            .execute(service.clone().serve())
+            .for_each(|response| async {
+                tokio::spawn(response);
+            })
+    });
+    bound
+        .await
+        .map_err(|error| start_failed(io::Error::other(format!("{address}: {error}"))))
+}
+
+/// Starts the thread that owns control state. It ends when the tarpc service is gone.
+fn run_control(
+    state: Arc<EntryState>,
+    directory: DirectoryOwner,
+    events: mpsc::Receiver<ControlEvent>,
+) -> io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    thread::Builder::new()
+        .name("entry-control".to_owned())
+        .spawn(move || runtime.block_on(control_thread::run(state, directory, events)))?;
+    Ok(())
+}
+
+/// Serves callers until `closing`, then finishes the open connections and says so.
+fn serve_callers(
+    state: &Arc<EntryState>,
+    listener: TcpListener,
+    closing: CancellationToken,
+) -> watch::Receiver<bool> {
+    let (closed_sender, closed) = watch::channel(false);
+    let routes = http::routes(Arc::clone(state));
+    let listener = listener.tap_io(|stream| {
+        if let Err(error) = stream.set_nodelay(true) {
+            log::warn!("event=socket_option_failed error={error:?}");
+        }
+    });
+    state.traffic.spawn(async move {
+        let serving =
+            axum::serve(listener, routes).with_graceful_shutdown(closing.cancelled_owned());
+        if let Err(error) = serving.await {
+            log::error!("event=http_ended error={error:?}");
+        }
+        closed_sender.send_replace(true);
+    });
+    closed
+}
--- /dev/null
+++ b/crates/amaranth-entry/src/settings.rs
@@ -0,0 +1,200 @@
+//! The settings of an entry.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranth_core::ids::{DataCentreName, ProcessId, RegionName};
+use amaranth_core::units::ByteSize;
+use amaranth_telemetry::settings::{CheckedSettings, SettingFault};
+use serde::{Deserialize, Serialize};
+
+/// Everything an entry is told when it starts.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The name of the process, which survives its restarts.
+    pub process: ProcessId,
+    /// The data centre.
+    pub data_centre: DataCentreName,
+    /// The region of the data centre.
+    pub region: RegionName,
+    /// Where callers are served over HTTP.
+    pub http_address: SocketAddr,
+    /// Where agents and other entries are served over tarpc.
+    pub peer_address: SocketAddr,
+    /// Where `/metrics`, `/healthz` and `/readyz` are served.
+    pub admin_address: SocketAddr,
+    /// The platform's log.
+    pub log_address: SocketAddr,
+    /// The platform's list of VMs, if there is one.
+    #[serde(default)]
+    pub vm_list_address: Option<SocketAddr>,
+    /// The other entries, by the addresses of their tarpc services.
+    #[serde(default)]
+    pub entries: Vec<SocketAddr>,
+    /// The path below which plain services are called.
+    #[serde(default = "default_services_path")]
+    pub services_path: String,
+    /// Threads that serve callers; zero stands for one a core.
+    #[serde(default)]
+    pub traffic_threads: usize,
+    /// Limits on requests.
+    #[serde(default)]
+    pub limits: RequestLimits,
+    /// Times of the exchange with agents and other entries.
+    #[serde(default)]
+    pub peers: PeerTimes,
+    /// Claims of non-idempotent calls.
+    #[serde(default)]
+    pub claims: ClaimSettings,
+}
+
+/// Limits on requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RequestLimits {
+    /// The largest request body.
+    pub max_body: ByteSize,
+    /// Requests in flight at once; more are refused.
+    pub max_in_flight: u32,
+    /// The deadline of a request that states none.
+    #[serde(with = "humantime_serde")]
+    pub default_deadline: Duration,
+    /// The longest deadline that a request may state.
+    #[serde(with = "humantime_serde")]
+    pub max_deadline: Duration,
+}
+
+impl Default for RequestLimits {
+    fn default() -> Self {
+        Self {
+            max_body: ByteSize(4 << 20),
+            max_in_flight: 10_000,
+            default_deadline: Duration::from_secs(120),
+            max_deadline: Duration::from_secs(600),
+        }
+    }
+}
+
+/// Times of the exchange with agents and other entries.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PeerTimes {
+    /// The longest time until a connection stands.
+    #[serde(with = "humantime_serde")]
+    pub connect_timeout: Duration,
+    /// The longest time between two replies to an open read.
+    #[serde(with = "humantime_serde")]
+    pub heartbeat: Duration,
+    /// How much later than its heartbeat a reply may come before its connection is given up.
+    #[serde(with = "humantime_serde")]
+    pub silence: Duration,
+    /// The age of an announcement at which its agent is believed dead.
+    #[serde(with = "humantime_serde")]
+    pub announcement_timeout: Duration,
+}
+
+impl Default for PeerTimes {
+    fn default() -> Self {
+        Self {
+            connect_timeout: Duration::from_millis(500),
+            heartbeat: Duration::from_millis(500),
+            silence: Duration::from_millis(500),
+            announcement_timeout: Duration::from_secs(3),
+        }
+    }
+}
+
+/// Claims of non-idempotent calls.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct ClaimSettings {
+    /// The age at which a dated key is refused. The log must keep claims for longer.
+    #[serde(with = "humantime_serde")]
+    pub key_window: Duration,
+    /// Whether keys that carry no date (any but UUIDv7) are refused.
+    pub require_dated_keys: bool,
+    /// The shortest time between two appends.
+    #[serde(with = "humantime_serde")]
+    pub append_interval: Duration,
+}
+
+impl Default for ClaimSettings {
+    fn default() -> Self {
+        Self {
+            key_window: Duration::from_secs(24 * 3_600),
+            require_dated_keys: false,
+            append_interval: Duration::from_millis(5),
+        }
+    }
+}
+
+fn default_services_path() -> String {
+    "/services".to_owned()
+}
+
+impl EntrySettings {
+    /// Returns settings with every address on a free loopback port.
+    pub fn loopback(
+        process: ProcessId,
+        data_centre: DataCentreName,
+        region: RegionName,
+        log_address: SocketAddr,
+    ) -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            process,
+            data_centre,
+            region,
+            http_address: any_port,
+            peer_address: any_port,
+            admin_address: any_port,
+            log_address,
+            vm_list_address: None,
+            entries: Vec::new(),
+            services_path: default_services_path(),
+            traffic_threads: 2,
+            limits: RequestLimits::default(),
+            peers: PeerTimes::default(),
+            claims: ClaimSettings::default(),
+        }
+    }
+}
+
+impl CheckedSettings for EntrySettings {
+    fn faults(&self) -> Vec<SettingFault> {
+        let mut faults = Vec::new();
+        if !self.services_path.starts_with('/') || self.services_path.ends_with('/') {
+            faults.push(SettingFault::new(
+                "services_path",
+                &self.services_path,
+                "a path that starts with / and does not end with it",
+            ));
+        }
+        let times = [
+            ("peers.connect_timeout", self.peers.connect_timeout),
+            ("peers.heartbeat", self.peers.heartbeat),
+            ("peers.silence", self.peers.silence),
+            (
+                "peers.announcement_timeout",
+                self.peers.announcement_timeout,
+            ),
+            ("limits.default_deadline", self.limits.default_deadline),
+            ("limits.max_deadline", self.limits.max_deadline),
+            ("claims.key_window", self.claims.key_window),
+        ];
+        for (key, time) in times {
+            if time.is_zero() {
+                faults.push(SettingFault::new(key, "0s", "a time above zero"));
+            }
+        }
+        if self.limits.max_in_flight == 0 {
+            faults.push(SettingFault::new(
+                "limits.max_in_flight",
+                0,
+                "a whole number above zero",
+            ));
+        }
+        faults
+    }
+}
--- /dev/null
+++ b/crates/amaranth-entry/tests/completions.rs
@@ -0,0 +1,220 @@
+//! Completions through an entry, with a fake agent behind it.
+
+mod support;
+
+use std::time::Duration;
+
+use amaranth_core::errors::{Error, ErrorKind};
+use amaranth_core::request::AnswerEnd;
+use http::{Method, StatusCode};
+use http_body_util::BodyExt;
+use rstest::rstest;
+use serde_json::json;
+
+use support::caller::EntryCaller;
+use support::fake_agent::{AnswerScript, FakeAgent};
+
+const CHAT: &str = r#"{"model":"depot","messages":[{"role":"user","content":"read"}]}"#;
+const STREAMED_CHAT: &str =
+    r#"{"model":"depot","stream":true,"messages":[{"role":"user","content":"read"}]}"#;
+
+const CHAT_CHUNKS: [&str; 3] = [
+    r#"{"id":"c1","object":"chat.completion.chunk","created":1,"model":"depot@3","choices":[{"index":0,"delta":{"role":"assistant","content":"two "},"finish_reason":null}]}"#,
+    r#"{"id":"c1","object":"chat.completion.chunk","created":1,"model":"depot@3","choices":[{"index":0,"delta":{"content":"tins"},"finish_reason":"stop"}]}"#,
+    r#"{"id":"c1","object":"chat.completion.chunk","created":1,"model":"depot@3","choices":[],"usage":{"prompt_tokens":2,"completion_tokens":2,"total_tokens":4}}"#,
+];
+
+struct Path {
+    entry: amaranth_entry::EntryProcess,
+    agent: FakeAgent,
+    caller: EntryCaller,
+}
+
+async fn spawn_path(script: AnswerScript) -> Path {
+    let entry = support::spawn_entry(support::settings()).await;
+    let agent = FakeAgent::spawn("agent-1").await;
+    agent.answer_with(Ok(script));
+    agent.announce(entry.peer_address(), 1).await;
+    let caller = EntryCaller::open(entry.http_address());
+    Path {
+        entry,
+        agent,
+        caller,
+    }
+}
+
+#[tokio::test]
+async fn a_whole_answer_is_put_together() {
+    let path = spawn_path(AnswerScript::whole(&CHAT_CHUNKS)).await;
+    let answer = path.caller.post("/v1/chat/completions", CHAT).await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.header("x-amaranth-revision"), "7");
+    assert_eq!(answer.header("x-amaranth-run"), "run");
+    let expected = json!({
+        "id": "c1", "object": "chat.completion", "created": 1, "model": "depot@3",
+        "choices": [{
+            "index": 0, "finish_reason": "stop", "logprobs": null,
+            "message": {"role": "assistant", "content": "two tins"},
+        }],
+        "usage": {"prompt_tokens": 2, "completion_tokens": 2, "total_tokens": 4},
+    });
+    assert_eq!(answer.json(), expected);
+    let opened = path.agent.opened();
+    assert_eq!(opened[0].target.to_string(), "depot@3");
+}
+
+#[tokio::test]
+async fn a_stream_passes_every_chunk_on_and_ends_with_done() {
+    let script = AnswerScript {
+        ready_at_once: 0,
+        ..AnswerScript::whole(&CHAT_CHUNKS)
+    };
+    let path = spawn_path(script).await;
+    let answer = path
+        .caller
+        .post("/v1/chat/completions", STREAMED_CHAT)
+        .await;
+    assert_eq!(answer.header("content-type"), "text/event-stream");
+    let events: String = CHAT_CHUNKS
+        .iter()
+        .chain(&["[DONE]"])
+        .map(|data| format!("data: {data}\n\n"))
+        .collect();
+    assert_eq!(answer.body, events);
+}
+
+#[tokio::test]
+async fn an_error_after_the_first_chunk_is_an_event() {
+    let error = Error::new(ErrorKind::EndpointFailed, "engine lost power");
+    let script = AnswerScript {
+        end: AnswerEnd::Failed(error),
+        ..AnswerScript::whole(&CHAT_CHUNKS[..1])
+    };
+    let path = spawn_path(script).await;
+    let answer = path
+        .caller
+        .post("/v1/chat/completions", STREAMED_CHAT)
+        .await;
+    assert_eq!(answer.status, StatusCode::OK);
+    let text = String::from_utf8(answer.body.to_vec()).expect("events are text");
+    let last = text.trim_end().rsplit("data: ").next().expect("an event");
+    let event: serde_json::Value = serde_json::from_str(last).expect("the event is JSON");
+    let expected = json!({"error": {
+        "message": "engine lost power", "type": "api_error", "param": null,
+        "code": "endpoint_failed",
+    }});
+    assert_eq!(event, expected);
+}
+
+#[rstest]
+#[case::not_json("{", 400)]
+#[case::no_model(r#"{"messages":[{"role":"user","content":"x"}]}"#, 400)]
+#[case::no_messages(r#"{"model":"depot"}"#, 400)]
+#[case::unknown_adapter(
+    r#"{"model":"depot@4","messages":[{"role":"user","content":"x"}]}"#,
+    404
+)]
+#[tokio::test]
+async fn a_bad_request_is_refused_and_not_forwarded(#[case] body: &str, #[case] status: u16) {
+    let path = spawn_path(AnswerScript::whole(&CHAT_CHUNKS)).await;
+    let answer = path.caller.post("/v1/chat/completions", body).await;
+    assert_eq!(answer.status.as_u16(), status);
+    assert_eq!(answer.header("x-amaranth-run"), "not_run");
+    assert_eq!(answer.json()["error"]["type"], "invalid_request_error");
+    assert!(path.agent.opened().is_empty());
+}
+
+#[tokio::test]
+async fn a_body_beyond_the_limit_is_refused() {
+    let path = spawn_path(AnswerScript::whole(&CHAT_CHUNKS)).await;
+    let body = "x".repeat(65 << 10);
+    let answer = path.caller.post("/v1/completions", &body).await;
+    assert_eq!(answer.status, StatusCode::PAYLOAD_TOO_LARGE);
+    assert!(path.agent.opened().is_empty());
+}
+
+#[tokio::test]
+async fn a_refusing_endpoint_is_replaced_by_another() {
+    let path = spawn_path(AnswerScript::whole(&CHAT_CHUNKS)).await;
+    let other = FakeAgent::spawn("agent-2").await;
+    other.answer_with(Ok(AnswerScript::whole(&CHAT_CHUNKS)));
+    other.announce(path.entry.peer_address(), 1).await;
+    let draining = Error::new(ErrorKind::Draining, "the agent is stopping");
+    path.agent.answer_with(Err(draining));
+    for _ in 0..8 {
+        let answer = path.caller.post("/v1/chat/completions", CHAT).await;
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(other.opened().len(), 8);
+}
+
+#[tokio::test]
+async fn a_caller_who_leaves_cancels_the_answer() {
+    let script = AnswerScript {
+        ready_at_once: 1,
+        ..AnswerScript::whole(&[CHAT_CHUNKS[0]; 100_000])
+    };
+    let path = spawn_path(script).await;
+    let response = path
+        .caller
+        .send(Method::POST, "/v1/chat/completions", &[], STREAMED_CHAT)
+        .await;
+    let mut body = response.into_body();
+    body.frame()
+        .await
+        .expect("a frame")
+        .expect("the frame is whole");
+    drop(body);
+    while path.agent.cancelled().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    assert_eq!(path.agent.cancelled(), vec![path.agent.opened()[0].id]);
+}
+
+#[tokio::test]
+async fn a_drain_finishes_the_stream_in_flight() {
+    let script = AnswerScript {
+        ready_at_once: 1,
+        ..AnswerScript::whole(&[CHAT_CHUNKS[0]; 200])
+    };
+    let path = spawn_path(script).await;
+    let response = path
+        .caller
+        .send(Method::POST, "/v1/chat/completions", &[], STREAMED_CHAT)
+        .await;
+    let draining = tokio::spawn(path.entry.drain());
+    let body = response
+        .into_body()
+        .collect()
+        .await
+        .expect("the stream is whole");
+    let text = String::from_utf8(body.to_bytes().to_vec()).expect("events are text");
+    assert_eq!(text.matches("data: ").count(), 201);
+    assert!(text.ends_with("data: [DONE]\n\n"));
+    draining.await.expect("the entry ends");
+}
+
+#[tokio::test]
+async fn models_are_listed() {
+    let path = spawn_path(AnswerScript::whole(&CHAT_CHUNKS)).await;
+    let answer = path.caller.call(Method::GET, "/v1/models", &[], "").await;
+    let ids: Vec<_> = answer.json()["data"]
+        .as_array()
+        .expect("a list")
+        .iter()
+        .map(|model| model["id"].clone())
+        .collect();
+    assert_eq!(ids, vec![json!("depot"), json!("tin")]);
+}
+
+#[tokio::test]
+async fn a_repeatable_service_call_goes_through() {
+    let path = spawn_path(AnswerScript::whole(&CHAT_CHUNKS)).await;
+    let answer = path
+        .caller
+        .call(Method::GET, "/services/desk/credit?member=7", &[], "")
+        .await;
+    assert_eq!(answer.status, StatusCode::OK);
+    assert_eq!(answer.body, "{\"booked\":true}");
+    assert_eq!(path.agent.calls()[0].path, "/credit?member=7");
+}
--- /dev/null
+++ b/crates/amaranth-entry/tests/support/fake_agent.rs
@@ -0,0 +1,279 @@
+//! An agent that answers from a script.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_control::answer_buffer::AnswerBuffer;
+use amaranth_core::errors::{Result, not_found};
+use amaranth_core::ids::{Incarnation, RequestId};
+use amaranth_core::membership::{
+    AgentAnnouncement, EndpointLoad, EndpointOffer, EndpointReport, ProcessIdentity,
+};
+use amaranth_core::request::{
+    AnswerBatch, AnswerEnd, CompletionRequest, ServiceAnswer, ServiceClaim, ServiceRequest,
+};
+use amaranth_wire::agent::{AgentRpc, AgentStatus, AnswerRead, ClaimStanding};
+use amaranth_wire::transport::{self, ServerHandle};
+use bytes::Bytes;
+use futures::StreamExt;
+use smallvec::smallvec;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+
+use super::id;
+
+/// What the agent does with a completion.
+#[derive(Debug, Clone)]
+pub struct AnswerScript {
+    /// The chunks.
+    pub chunks: Vec<String>,
+    /// The end.
+    pub end: AnswerEnd,
+    /// Chunks that are ready when the answer is opened; each read makes one more ready.
+    pub ready_at_once: usize,
+}
+
+impl AnswerScript {
+    /// An answer that is whole at once.
+    pub fn whole(chunks: &[&str]) -> Self {
+        Self {
+            chunks: chunks.iter().map(|&chunk| chunk.to_owned()).collect(),
+            end: AnswerEnd::Complete,
+            ready_at_once: chunks.len(),
+        }
+    }
+}
+
+struct RunningAnswer {
+    buffer: AnswerBuffer,
+    script: AnswerScript,
+    produced: usize,
+}
+
+impl RunningAnswer {
+    fn produce(&mut self, count: usize) {
+        let end = (self.produced + count).min(self.script.chunks.len());
+        for chunk in &self.script.chunks[self.produced..end] {
+            self.buffer.push(Bytes::from(chunk.clone()));
+        }
+        self.produced = end;
+        if end == self.script.chunks.len() {
+            self.buffer.finish(self.script.end.clone());
+        }
+    }
+}
+
+#[derive(Default)]
+struct AgentBooks {
+    script: Option<Result<AnswerScript>>,
+    answers: HashMap<RequestId, RunningAnswer>,
+    opened: Vec<CompletionRequest>,
+    cancelled: Vec<RequestId>,
+    calls: Vec<ServiceRequest>,
+}
+
+/// The running agent.
+#[derive(Clone)]
+pub struct FakeAgent {
+    books: Arc<Mutex<AgentBooks>>,
+    server: Arc<ServerHandle>,
+    name: String,
+    incarnation: Incarnation,
+}
+
+impl FakeAgent {
+    /// Starts an agent with endpoint `engine-of-NAME` and an instance `desk-of-NAME` of `desk`.
+    pub async fn spawn(name: &str) -> Self {
+        let books = Arc::<Mutex<AgentBooks>>::default();
+        let service = FakeService {
+            books: Arc::clone(&books),
+        };
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        let server = transport::bind(any_port, move |transport| {
+            BaseChannel::with_defaults(transport)
+                .execute(service.clone().serve())
+                .for_each(|response| async {
+                    tokio::spawn(response);
+                })
+        });
+        Self {
+            books,
+            server: Arc::new(server.await.expect("the agent binds")),
+            name: name.to_owned(),
+            incarnation: Incarnation(1),
+        }
+    }
+
+    /// Sets what completions are answered with from now on.
+    pub fn answer_with(&self, script: Result<AnswerScript>) {
+        self.books.lock().expect("not poisoned").script = Some(script);
+    }
+
+    /// Returns the completions that were opened.
+    pub fn opened(&self) -> Vec<CompletionRequest> {
+        self.books.lock().expect("not poisoned").opened.clone()
+    }
+
+    /// Returns the answers that were cancelled.
+    pub fn cancelled(&self) -> Vec<RequestId> {
+        self.books.lock().expect("not poisoned").cancelled.clone()
+    }
+
+    /// Returns the service calls that came.
+    pub fn calls(&self) -> Vec<ServiceRequest> {
+        self.books.lock().expect("not poisoned").calls.clone()
+    }
+
+    /// Returns the announcement with this number.
+    pub fn announcement(&self, sequence: u64) -> AgentAnnouncement {
+        let report = |endpoint: String, offer| EndpointReport {
+            endpoint: id(&endpoint),
+            offer,
+            ready: true,
+            load: EndpointLoad::default(),
+            resident: Vec::new(),
+            loading: Vec::new(),
+        };
+        let engine = EndpointOffer::Engine {
+            bases: smallvec![id("tin")],
+            adapter_slots: 8,
+            batch_slots: 16,
+        };
+        AgentAnnouncement {
+            identity: ProcessIdentity {
+                process: id(&self.name),
+                incarnation: self.incarnation,
+                address: self.server.address(),
+                data_centre: id("obihiro-a"),
+                region: id("doto"),
+            },
+            sequence,
+            leaving: false,
+            revision: Default::default(),
+            endpoints: vec![
+                report(format!("engine-of-{}", self.name), engine),
+                report(
+                    format!("desk-of-{}", self.name),
+                    EndpointOffer::Service(id("desk")),
+                ),
+            ],
+        }
+    }
+
+    /// Announces the agent to the entry at `address` and waits until the entry lists it.
+    pub async fn announce(&self, address: SocketAddr, sequence: u64) {
+        let connecting = amaranth_wire::entry::connect(address, Duration::from_secs(5));
+        let client = connecting.await.expect("the entry is reached");
+        let announcement = self.announcement(sequence);
+        client
+            .announce(tarpc::context::current(), announcement.clone())
+            .await
+            .expect("the entry replies")
+            .expect("the entry takes the announcement");
+        loop {
+            let status = client.status(tarpc::context::current()).await;
+            if status
+                .expect("the entry replies")
+                .agents
+                .contains(&announcement)
+            {
+                return;
+            }
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    }
+}
+
+#[derive(Clone)]
+struct FakeService {
+    books: Arc<Mutex<AgentBooks>>,
+}
+
+impl FakeService {
+    /// Replies at once if there is a chunk, and with a heartbeat after `wait` if not.
+    async fn read(&self, read: AnswerRead, make_ready: usize) -> Result<AnswerBatch> {
+        let batch = {
+            let mut books = self.books.lock().expect("not poisoned");
+            let running = books
+                .answers
+                .get_mut(&read.id)
+                .ok_or_else(|| not_found("no such answer"))?;
+            running.produce(make_ready);
+            running.buffer.read(read.from)
+        };
+        if let Some(batch) = batch {
+            return Ok(batch);
+        }
+        tokio::time::sleep(read.wait).await;
+        Ok(AnswerBatch {
+            id: read.id,
+            chunks: Vec::new(),
+            end: None,
+        })
+    }
+}
+
+impl AgentRpc for FakeService {
+    async fn open_answer(
+        self,
+        _context: Context,
+        request: CompletionRequest,
+        wait: Duration,
+    ) -> Result<AnswerBatch> {
+        let id = request.id;
+        let ready = {
+            let mut books = self.books.lock().expect("not poisoned");
+            let script = books.script.clone().expect("the agent has a script")?;
+            books.opened.push(request);
+            let ready = script.ready_at_once;
+            books.answers.entry(id).or_insert(RunningAnswer {
+                buffer: AnswerBuffer::open(id, 1 << 20),
+                script,
+                produced: 0,
+            });
+            ready
+        };
+        let read = AnswerRead {
+            id,
+            from: Default::default(),
+            wait,
+        };
+        self.read(read, ready).await
+    }
+
+    async fn read_answer(self, _context: Context, read: AnswerRead) -> Result<AnswerBatch> {
+        self.read(read, 1).await
+    }
+
+    async fn cancel_answer(self, _context: Context, id: RequestId) -> Result<()> {
+        self.books.lock().expect("not poisoned").cancelled.push(id);
+        Ok(())
+    }
+
+    async fn call_service(
+        self,
+        _context: Context,
+        request: ServiceRequest,
+    ) -> Result<ServiceAnswer> {
+        self.books.lock().expect("not poisoned").calls.push(request);
+        Ok(ServiceAnswer {
+            status: 200,
+            content_type: Some("application/json".to_owned()),
+            body: Bytes::from_static(b"{\"booked\":true}"),
+        })
+    }
+
+    async fn settle_claim(self, _context: Context, _claim: ServiceClaim) -> Result<ClaimStanding> {
+        Ok(ClaimStanding::Unknown)
+    }
+
+    async fn status(self, _context: Context) -> AgentStatus {
+        unreachable!("the entry never asks an agent for its status")
+    }
+
+    async fn drain(self, _context: Context) -> Result<()> {
+        Ok(())
+    }
+}
