--- a/crates/amaranth-ports/src/engine.rs
+++ b/crates/amaranth-ports/src/engine.rs
@@ -163,6 +163,17 @@
     /// Returns an error when the engine refuses or can't be reached.
     async fn complete(&self, call: EngineCall) -> PortResult<EngineAnswer>;
 
+    /// Fetches a running or just ended completion again, from its event number `from` on.
+    ///
+    /// # Errors
+    ///
+    /// `Refused` when the engine does not resume or no longer knows the request.
+    async fn resume(&self, id: RequestId, from: u64) -> PortResult<EngineAnswer> {
+        Err(crate::PortError::Refused(format!(
+            "the engine does not resume {id} from {from}"
+        )))
+    }
+
     /// Stops a completion that nobody waits for.
     ///
     /// # Errors
--- a/crates/amaranth-ports/src/http_client.rs
+++ b/crates/amaranth-ports/src/http_client.rs
@@ -1,1 +1,193 @@
 //! The HTTP client that the port modules share.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request::Builder;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::{CaptureConnection, HttpConnector, capture_connection};
+use hyper_util::rt::{TokioExecutor, TokioTimer};
+use serde::de::DeserializeOwned;
+
+use crate::errors::{PortError, PortResult};
+
+/// Longest time that connecting may take.
+pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Time after which an unused connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time without an acknowledgement after which the kernel gives a connection up.
+const USER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Idle time after which the kernel probes a connection.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(5);
+
+/// Largest answer body that is read whole, in bytes.
+pub const MAX_ANSWER_BYTES: usize = 32 << 20;
+
+/// How long a limited caller stays away when the answer does not say.
+const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// The header that says in milliseconds when a limited call may be repeated.
+pub const RETRY_AFTER_MS: &str = "retry-after-ms";
+
+/// The header that carries the request id.
+pub const REQUEST_ID: &str = "x-request-id";
+
+/// A client of one address that keeps its connections open between calls.
+#[derive(Debug, Clone)]
+pub struct HttpClient {
+    address: SocketAddr,
+    client: Client<HttpConnector, Full<Bytes>>,
+}
+
+impl HttpClient {
+    /// Opens a client of `address`. Nothing is sent until the first call.
+    pub fn open(address: SocketAddr) -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+        connector.set_nodelay(true);
+        connector.set_keepalive(Some(KEEPALIVE_IDLE));
+        connector.set_tcp_user_timeout(Some(USER_TIMEOUT));
+        let client = Client::builder(TokioExecutor::new())
+            .pool_timer(TokioTimer::new())
+            .pool_idle_timeout(IDLE_TIMEOUT)
+            .build(connector);
+        Self { address, client }
+    }
+
+    /// Returns the address of the other side.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Starts a request for `path_and_query`, which begins with a slash.
+    pub fn request(&self, method: Method, path_and_query: &str) -> Builder {
+        Request::builder()
+            .method(method)
+            .uri(format!("http://{}{path_and_query}", self.address))
+    }
+
+    /// Sends a request and returns the head of the answer with its body unread.
+    ///
+    /// # Errors
+    ///
+    /// `Unreachable` when no connection took the request, `Uncertain` when one did and no head
+    /// came back within `timeout`, `Refused` when the request can't be built.
+    pub async fn send(
+        &self,
+        builder: Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> PortResult<Response<Incoming>> {
+        let mut request = builder
+            .body(Full::new(body))
+            .map_err(|error| PortError::Refused(format!("request can't be built: {error}")))?;
+        let connection = capture_connection(&mut request);
+        match tokio::time::timeout(timeout, self.client.request(request)).await {
+            Ok(Ok(response)) => Ok(response),
+            Ok(Err(error)) if error.is_connect() => Err(self.unreachable(&error)),
+            Ok(Err(error)) => Err(self.failed(&connection, &error)),
+            Err(_) => Err(self.failed(&connection, &format!("no answer in {timeout:?}"))),
+        }
+    }
+
+    /// Sends a request and returns the status and the whole body of its answer.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpClient::send`]; an answer that breaks off is `Uncertain`.
+    pub async fn fetch(
+        &self,
+        builder: Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> PortResult<Response<Bytes>> {
+        let deadline = tokio::time::Instant::now() + timeout;
+        let response = self.send(builder, body, timeout).await?;
+        let reading = read_whole(response);
+        match tokio::time::timeout_at(deadline, reading).await {
+            Ok(answer) => answer.map_err(|what| self.uncertain(&what)),
+            Err(_) => Err(self.uncertain(&format!("answer not whole in {timeout:?}"))),
+        }
+    }
+
+    /// Sends a request and returns its answer decoded from JSON.
+    ///
+    /// # Errors
+    ///
+    /// As for [`HttpClient::fetch`], with refusals mapped by [`check_status`].
+    pub async fn fetch_json<T: DeserializeOwned>(
+        &self,
+        builder: Builder,
+        body: Bytes,
+        timeout: Duration,
+    ) -> PortResult<T> {
+        let answer = check_status(self.fetch(builder, body, timeout).await?)?;
+        serde_json::from_slice(answer.body())
+            .map_err(|error| self.uncertain(&format!("answer is malformed: {error}")))
+    }
+
+    fn unreachable(&self, what: &dyn std::fmt::Display) -> PortError {
+        PortError::Unreachable(format!("{}: {what}", self.address))
+    }
+
+    fn uncertain(&self, what: &dyn std::fmt::Display) -> PortError {
+        PortError::Uncertain(format!("{}: {what}", self.address))
+    }
+
+    /// Tells a request that no connection took from one that may have arrived.
+    fn failed(&self, connection: &CaptureConnection, what: &dyn std::fmt::Display) -> PortError {
+        if connection.connection_metadata().is_some() {
+            self.uncertain(what)
+        } else {
+            self.unreachable(what)
+        }
+    }
+}
+
+/// Reads a body whole, up to [`MAX_ANSWER_BYTES`].
+async fn read_whole(response: Response<Incoming>) -> Result<Response<Bytes>, String> {
+    let (head, body) = response.into_parts();
+    let collected = Limited::new(body, MAX_ANSWER_BYTES)
+        .collect()
+        .await
+        .map_err(|error| format!("answer broke off: {error}"))?;
+    Ok(Response::from_parts(head, collected.to_bytes()))
+}
+
+/// Passes a successful answer and maps every other status to an error.
+///
+/// # Errors
+///
+/// 429 and a 503 with a delay are `Limited`, another 503 is `Unreachable`, 412 is `Fenced`, other
+/// 4xx are `Refused`; all else may have taken effect and is `Uncertain`.
+pub fn check_status(answer: Response<Bytes>) -> PortResult<Response<Bytes>> {
+    let status = answer.status();
+    if status.is_success() {
+        return Ok(answer);
+    }
+    let delay = retry_after(&answer);
+    let text = String::from_utf8_lossy(answer.body());
+    let what = format!("status {}: {text}", status.as_u16());
+    Err(match status {
+        StatusCode::TOO_MANY_REQUESTS => PortError::Limited(delay.unwrap_or(DEFAULT_RETRY_AFTER)),
+        StatusCode::SERVICE_UNAVAILABLE => {
+            delay.map_or(PortError::Unreachable(what), PortError::Limited)
+        }
+        StatusCode::PRECONDITION_FAILED => PortError::Fenced(what),
+        status if status.is_client_error() => PortError::Refused(what),
+        _ => PortError::Uncertain(what),
+    })
+}
+
+/// Returns the delay that an answer asks for.
+fn retry_after(answer: &Response<Bytes>) -> Option<Duration> {
+    let text = answer.headers().get(RETRY_AFTER_MS)?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_millis)
+}
--- a/crates/amaranth-ports/src/http_engine.rs
+++ b/crates/amaranth-ports/src/http_engine.rs
@@ -1,1 +1,255 @@
 //! The HTTP client of [`crate::engine::EnginePort`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranth_core::ids::{AdapterRef, FencingToken, RequestId};
+use async_trait::async_trait;
+use bytes::Bytes;
+use futures::stream::{self, BoxStream, StreamExt};
+use http::header::CONTENT_TYPE;
+use http::request::Builder;
+use http::{Method, Response};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use serde::{Deserialize, Serialize};
+
+use crate::engine::{
+    CacheEvent, EngineAnswer, EngineCall, EngineInventory, EngineLoadReport, EnginePort, EngineRole,
+};
+use crate::errors::{PortError, PortResult};
+use crate::http_client::{HttpClient, REQUEST_ID, check_status};
+use crate::sse::{DONE, SseDecoder};
+
+/// Time that an engine has for a report.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time that an engine has to accept a completion; its tokens may take longer.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// The header in which an engine names the model that serves an answer.
+pub const SERVED_MODEL: &str = "x-served-model";
+
+/// The header that carries a request's priority.
+pub const PRIORITY: &str = "x-request-priority";
+
+/// An order about one adapter.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct AdapterOrder {
+    /// The adapter, as `name@version`.
+    pub lora_name: AdapterRef,
+    /// The number of the lease under which the order is given.
+    pub fencing_token: FencingToken,
+}
+
+/// An order to change role.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct RoleOrder {
+    /// The new role.
+    pub role: EngineRole,
+    /// The number of the lease under which the order is given.
+    pub fencing_token: FencingToken,
+}
+
+/// Reaches one engine over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpEngine {
+    client: HttpClient,
+}
+
+impl HttpEngine {
+    /// Opens a client of the engine at `address`.
+    pub fn open(address: SocketAddr) -> Self {
+        Self {
+            client: HttpClient::open(address),
+        }
+    }
+
+    async fn order<T: Serialize + Sync>(
+        &self,
+        path: &str,
+        order: &T,
+        timeout: Duration,
+    ) -> PortResult<()> {
+        let body = serde_json::to_vec(order)
+            .map_err(|error| PortError::Refused(format!("order can't be encoded: {error}")))?;
+        let request = json_request(self.client.request(Method::POST, path));
+        let answer = self.client.fetch(request, body.into(), timeout).await?;
+        check_status(answer).map(|_| ())
+    }
+
+    async fn report<T: serde::de::DeserializeOwned>(&self, path: &str) -> PortResult<T> {
+        let request = self.client.request(Method::GET, path);
+        self.client
+            .fetch_json(request, Bytes::new(), REPORT_TIMEOUT)
+            .await
+    }
+
+    async fn open_stream(&self, request: Builder, body: Bytes) -> PortResult<EngineAnswer> {
+        let response = self.client.send(request, body, ACCEPT_TIMEOUT).await?;
+        if !response.status().is_success() {
+            return Err(refusal(response).await);
+        }
+        let served_model = response
+            .headers()
+            .get(SERVED_MODEL)
+            .and_then(|value| value.to_str().ok())
+            .unwrap_or_default()
+            .to_owned();
+        Ok(EngineAnswer {
+            served_model,
+            events: event_stream(response.into_body()),
+        })
+    }
+}
+
+fn json_request(builder: Builder) -> Builder {
+    builder.header(CONTENT_TYPE, "application/json")
+}
+
+/// Reads the rest of an answer that is not a success.
+async fn refusal(response: Response<Incoming>) -> PortError {
+    let (head, body) = response.into_parts();
+    let reading = tokio::time::timeout(ACCEPT_TIMEOUT, body.collect()).await;
+    let text = match reading {
+        Ok(Ok(collected)) => collected.to_bytes(),
+        _ => Bytes::from_static(b"the reason is lost"),
+    };
+    match check_status(Response::from_parts(head, text)) {
+        Ok(_) => PortError::Uncertain("status changed while it was read".to_owned()),
+        Err(error) => error,
+    }
+}
+
+/// What is left of an event stream.
+struct EventReader {
+    body: Incoming,
+    decoder: SseDecoder,
+    ready: std::collections::VecDeque<Bytes>,
+    ended: bool,
+}
+
+impl EventReader {
+    /// Returns the next event; an end without the closing event is an error.
+    async fn next(&mut self) -> Option<PortResult<Bytes>> {
+        loop {
+            if let Some(event) = self.ready.pop_front() {
+                if event.as_ref() != DONE {
+                    return Some(Ok(event));
+                }
+                self.ended = true;
+            }
+            if self.ended {
+                return None;
+            }
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        self.ready.extend(self.decoder.push(&bytes));
+                    }
+                }
+                Some(Err(error)) => return self.broken(&error.to_string()),
+                None => return self.broken("no closing event"),
+            }
+        }
+    }
+
+    fn broken(&mut self, what: &str) -> Option<PortResult<Bytes>> {
+        self.ended = true;
+        let error = PortError::Uncertain(format!("stream broke off: {what}"));
+        Some(Err(error))
+    }
+}
+
+/// Turns a body into the data of its events.
+fn event_stream(body: Incoming) -> BoxStream<'static, PortResult<Bytes>> {
+    let reader = EventReader {
+        body,
+        decoder: SseDecoder::open(),
+        ready: std::collections::VecDeque::new(),
+        ended: false,
+    };
+    stream::unfold(reader, |mut reader| async {
+        let event = reader.next().await?;
+        Some((event, reader))
+    })
+    .boxed()
+}
+
+#[async_trait]
+impl EnginePort for HttpEngine {
+    async fn inventory(&self) -> PortResult<EngineInventory> {
+        self.report("/inventory").await
+    }
+
+    async fn load_report(&self) -> PortResult<EngineLoadReport> {
+        self.report("/load").await
+    }
+
+    async fn cache_events(&self, after: u64) -> PortResult<Vec<CacheEvent>> {
+        self.report(&format!("/cache_events?after={after}")).await
+    }
+
+    async fn load_adapter(
+        &self,
+        adapter: &AdapterRef,
+        token: FencingToken,
+        timeout: Duration,
+    ) -> PortResult<()> {
+        let order = AdapterOrder {
+            lora_name: adapter.clone(),
+            fencing_token: token,
+        };
+        self.order("/v1/load_lora_adapter", &order, timeout).await
+    }
+
+    async fn unload_adapter(
+        &self,
+        adapter: &AdapterRef,
+        token: FencingToken,
+        timeout: Duration,
+    ) -> PortResult<()> {
+        let order = AdapterOrder {
+            lora_name: adapter.clone(),
+            fencing_token: token,
+        };
+        self.order("/v1/unload_lora_adapter", &order, timeout).await
+    }
+
+    async fn set_role(
+        &self,
+        role: EngineRole,
+        token: FencingToken,
+        timeout: Duration,
+    ) -> PortResult<()> {
+        let order = RoleOrder {
+            role,
+            fencing_token: token,
+        };
+        self.order("/role", &order, timeout).await
+    }
+
+    async fn complete(&self, call: EngineCall) -> PortResult<EngineAnswer> {
+        let request = json_request(self.client.request(Method::POST, call.path))
+            .header(REQUEST_ID, call.id.to_string())
+            .header(PRIORITY, call.priority.to_string())
+            .header("traceparent", call.trace.to_string());
+        self.open_stream(request, call.body).await
+    }
+
+    async fn resume(&self, id: RequestId, from: u64) -> PortResult<EngineAnswer> {
+        let path = format!("/requests/{id}/events?from={from}");
+        let request = self.client.request(Method::GET, &path);
+        self.open_stream(request, Bytes::new()).await
+    }
+
+    async fn cancel(&self, id: RequestId) -> PortResult<()> {
+        let path = format!("/requests/{id}");
+        let request = self.client.request(Method::DELETE, &path);
+        let answer = self
+            .client
+            .fetch(request, Bytes::new(), REPORT_TIMEOUT)
+            .await?;
+        check_status(answer).map(|_| ())
+    }
+}
--- a/crates/amaranth-ports/src/http_vm_list.rs
+++ b/crates/amaranth-ports/src/http_vm_list.rs
@@ -1,1 +1,40 @@
 //! The HTTP client of [`crate::vm_list::VmListPort`].
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use http::Method;
+
+use crate::errors::PortResult;
+use crate::http_client::HttpClient;
+use crate::vm_list::{VmListPort, VmRecord};
+
+/// Time that the platform has for the list.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Reaches the VM list over HTTP.
+#[derive(Debug, Clone)]
+pub struct HttpVmList {
+    client: HttpClient,
+}
+
+impl HttpVmList {
+    /// Opens a client of the VM list at `address`.
+    pub fn open(address: SocketAddr) -> Self {
+        Self {
+            client: HttpClient::open(address),
+        }
+    }
+}
+
+#[async_trait]
+impl VmListPort for HttpVmList {
+    async fn list(&self) -> PortResult<Vec<VmRecord>> {
+        let request = self.client.request(Method::GET, "/vms");
+        self.client
+            .fetch_json(request, Bytes::new(), ANSWER_TIMEOUT)
+            .await
+    }
+}
--- a/crates/amaranth-ports/src/lib.rs
+++ b/crates/amaranth-ports/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod http_vm_list;
 pub mod log;
 pub mod service;
+pub mod sse;
 pub mod vm_list;
 
 pub use errors::{PortError, PortResult};
