--- /dev/null
+++ b/crates/amaranth-standin/src/engine/batch.rs
@@ -0,0 +1,106 @@
+//! Continuous batching: every step yields one token to each request in the batch.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_core::ids::{AdapterRef, RequestId};
+use tokio::time::Instant;
+
+use super::options::EngineOptions;
+use super::state::EngineState;
+use super::stream::EngineStream;
+
+/// One request in the batch.
+#[derive(Debug)]
+pub struct BatchedStream {
+    /// The answer.
+    pub stream: Arc<EngineStream>,
+    /// Tokens generated so far.
+    pub generated: u32,
+}
+
+/// The batch and those that wait for a place in it.
+#[derive(Debug, Default)]
+pub struct EngineBatch {
+    /// Requests that wait, by priority and then by arrival.
+    pub waiting: VecDeque<Arc<EngineStream>>,
+    /// Requests in the batch.
+    pub running: Vec<BatchedStream>,
+}
+
+impl EngineBatch {
+    /// Adds a request behind those of its priority.
+    pub fn enqueue(&mut self, stream: Arc<EngineStream>) {
+        let priority = stream.request.priority;
+        let position = self
+            .waiting
+            .iter()
+            .position(|other| other.request.priority < priority)
+            .unwrap_or(self.waiting.len());
+        self.waiting.insert(position, stream);
+    }
+
+    /// Moves waiting requests to free places and returns them.
+    pub fn admit(&mut self, batch_slots: u16) -> Vec<Arc<EngineStream>> {
+        let free = usize::from(batch_slots).saturating_sub(self.running.len());
+        let count = free.min(self.waiting.len());
+        let admitted: Vec<_> = self.waiting.drain(..count).collect();
+        let batched = admitted.iter().cloned().map(|stream| BatchedStream {
+            stream,
+            generated: 0,
+        });
+        self.running.extend(batched);
+        admitted
+    }
+
+    /// Removes a request and returns it, if it is here.
+    pub fn remove(&mut self, id: RequestId) -> Option<Arc<EngineStream>> {
+        if let Some(index) = self.waiting.iter().position(|stream| stream.id() == id) {
+            return self.waiting.remove(index);
+        }
+        let index = self
+            .running
+            .iter()
+            .position(|batched| batched.stream.id() == id)?;
+        Some(self.running.remove(index).stream)
+    }
+
+    /// Removes and returns every request on `adapter`.
+    pub fn remove_adapter(&mut self, adapter: &AdapterRef) -> Vec<Arc<EngineStream>> {
+        let ids: Vec<_> = self
+            .all()
+            .filter(|stream| stream.request.adapter.as_ref() == Some(adapter))
+            .map(|stream| stream.id())
+            .collect();
+        ids.into_iter().filter_map(|id| self.remove(id)).collect()
+    }
+
+    /// Returns every request that waits or runs.
+    pub fn all(&self) -> impl Iterator<Item = &Arc<EngineStream>> {
+        let running = self.running.iter().map(|batched| &batched.stream);
+        self.waiting.iter().chain(running)
+    }
+
+    /// Returns how long a step takes with the present batch.
+    pub fn step_time(&self, options: &EngineOptions) -> Duration {
+        let requests = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
+        options.step_time + options.step_time_per_request * requests
+    }
+}
+
+/// Steps the batch of `state` as long as it has requests.
+pub async fn run(state: Arc<EngineState>) {
+    let mut due = Instant::now();
+    loop {
+        let Some(step) = state.begin_step() else {
+            state.work.notified().await;
+            due = Instant::now();
+            continue;
+        };
+        // Steps are due at fixed distances, so that late timers do not slow generation down.
+        due = due.max(Instant::now() - step) + step;
+        tokio::time::sleep_until(due).await;
+        state.finish_step();
+    }
+}
--- /dev/null
+++ b/crates/amaranth-standin/src/engine/mod.rs
@@ -0,0 +1,118 @@
+//! A stand-in of a model engine with continuous batching.
+
+pub mod answer_text;
+mod batch;
+mod cache;
+mod completions;
+mod options;
+mod orders;
+mod reports;
+mod state;
+mod stream;
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use amaranth_core::ids::AdapterRef;
+use amaranth_ports::engine::EngineInventory;
+use axum::Router;
+use axum::extract::DefaultBodyLimit;
+use axum::routing::{delete, get, post};
+use tokio::task::JoinHandle;
+
+use crate::control::{ControlledState, control_router};
+use crate::server::StandinServer;
+
+pub use options::{EngineCounters, EngineFaults, EngineOptions, StreamFaults};
+use state::EngineState;
+
+/// Largest request body, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// A running engine.
+#[derive(Debug)]
+pub struct EngineStandin {
+    server: StandinServer,
+    state: Arc<EngineState>,
+    batching: JoinHandle<()>,
+}
+
+impl EngineStandin {
+    /// Spawns an engine that holds its base models and no adapter.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when its address can't be bound.
+    pub async fn spawn(options: EngineOptions) -> io::Result<Self> {
+        let listen = options.listen;
+        let state = Arc::new(EngineState::open(options));
+        let server = StandinServer::bind(listen, engine_router(&state)).await?;
+        let batching = tokio::spawn(batch::run(Arc::clone(&state)));
+        Ok(Self {
+            server,
+            state,
+            batching,
+        })
+    }
+
+    /// Returns the bound address.
+    pub const fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Replaces all faults.
+    pub fn set_faults(&self, faults: EngineFaults) {
+        self.state.set_faults(faults);
+    }
+
+    /// Returns the present counters.
+    pub fn counters(&self) -> EngineCounters {
+        self.state.counters()
+    }
+
+    /// Returns what the engine holds now.
+    pub fn inventory(&self) -> EngineInventory {
+        self.state.with_book(|book| book.inventory())
+    }
+
+    /// Returns whether `adapter` is resident now.
+    pub fn holds(&self, adapter: &AdapterRef) -> bool {
+        self.state.with_book(|book| book.adapters.contains(adapter))
+    }
+
+    /// Restarts the engine empty: a new incarnation, no adapters, every stream broken off.
+    pub fn restart(&self) {
+        self.state.restart();
+    }
+
+    /// Closes the listener and every connection at once, and stops generating.
+    pub fn kill(&self) {
+        self.server.kill();
+        self.batching.abort();
+    }
+}
+
+impl Drop for EngineStandin {
+    fn drop(&mut self) {
+        self.batching.abort();
+    }
+}
+
+fn engine_router(state: &Arc<EngineState>) -> Router {
+    Router::new()
+        .route("/v1/completions", post(completions::complete))
+        .route("/v1/chat/completions", post(completions::chat))
+        .route("/requests/{id}/events", get(completions::resume))
+        .route("/requests/{id}", delete(completions::cancel))
+        .route("/v1/load_lora_adapter", post(orders::load))
+        .route("/v1/unload_lora_adapter", post(orders::unload))
+        .route("/role", post(orders::change_role))
+        .route("/inventory", get(reports::inventory))
+        .route("/load", get(reports::load))
+        .route("/cache_events", get(reports::cache_events))
+        .route("/control/restart", post(reports::restart))
+        .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
+        .with_state(Arc::clone(state))
+        .merge(control_router(Arc::clone(state)))
+}
