--- a/crates/amaranth-standin/src/engine/stream.rs
+++ b/crates/amaranth-standin/src/engine/stream.rs
@@ -149,23 +149,15 @@
             return None;
         }
         match self.fault {
-            ConnectionFault::BreakAfter(events) if self.sent >= events => return self.cut(),
+            ConnectionFault::BreakAfter(events) if self.sent >= events => {
+                return self.cut().await;
+            }
             ConnectionFault::SilentAfter(events) if self.sent >= events => {
                 return std::future::pending().await;
             }
             _ => {}
         }
-        let next = self.next;
-        let ready =
-            |progress: &StreamProgress| progress.events.len() > next || progress.end.is_some();
-        let Ok(progress) = self.progress.wait_for(ready).await else {
-            self.closed = true;
-            return Some(Err(std::io::ErrorKind::ConnectionAborted.into()));
-        };
-        let event = progress.events.get(next).cloned();
-        let end = progress.end;
-        drop(progress);
-        match (event, end) {
+        match self.await_event().await {
             (Some(event), _) => {
                 self.next += 1;
                 self.sent += 1;
@@ -175,12 +167,25 @@
                 self.closed = true;
                 Some(Ok(encode_event(b"[DONE]")))
             }
-            (None, _) => self.cut(),
+            (None, _) => self.cut().await,
+        }
+    }
+
+    /// Waits for the next event or the end.
+    async fn await_event(&mut self) -> (Option<Bytes>, Option<StreamEnd>) {
+        let next = self.next;
+        let ready =
+            |progress: &StreamProgress| progress.events.len() > next || progress.end.is_some();
+        match self.progress.wait_for(ready).await {
+            Ok(progress) => (progress.events.get(next).cloned(), progress.end),
+            Err(_) => (None, Some(StreamEnd::BrokenOff)),
         }
     }
 
-    fn cut(&mut self) -> Option<std::io::Result<Bytes>> {
+    async fn cut(&mut self) -> Option<std::io::Result<Bytes>> {
         self.closed = true;
+        // The server flushes earlier events whenever it has to wait for the next one.
+        tokio::task::yield_now().await;
         Some(Err(std::io::ErrorKind::ConnectionAborted.into()))
     }
 }
--- a/crates/amaranth-standin/src/lib.rs
+++ b/crates/amaranth-standin/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod store_standin;
 pub mod vm_list_standin;
 
-pub use engine::{EngineCounters, EngineFaults, EngineOptions, EngineStandin};
+pub use engine::{EngineCounters, EngineFaults, EngineOptions, EngineStandin, StreamFaults};
 pub use faults::{CommonFaults, OutageKind};
 pub use log_standin::{LogCounters, LogFaults, LogOptions, LogStandin};
 pub use service_standin::{ServiceCounters, ServiceFaults, ServiceOptions, ServiceStandin};
