--- /dev/null
+++ b/crates/amaranth-config/src/catalogue/index.rs
@@ -0,0 +1,61 @@
+//! The catalogue's indexes, which are kept up to date with each edit.
+
+use std::sync::Arc;
+
+use amaranth_core::ids::{ModelName, RuleName, ServiceName};
+use smallvec::SmallVec;
+
+use crate::entries::RuleEntry;
+use crate::shared_map::KeyedValue;
+
+/// The rules for one model that requests ask for, in the order in which they are tried.
+#[derive(Debug, Clone)]
+pub(super) struct AliasRules {
+    pub(super) model: ModelName,
+    pub(super) rules: SmallVec<[Arc<RuleEntry>; 1]>,
+}
+
+impl KeyedValue for AliasRules {
+    fn key(&self) -> &str {
+        self.model.as_str()
+    }
+}
+
+/// The rules that have a name among their targets.
+#[derive(Debug, Clone)]
+pub(super) struct NameUse {
+    pub(super) name: Arc<str>,
+    pub(super) rules: SmallVec<[RuleName; 1]>,
+}
+
+impl KeyedValue for NameUse {
+    fn key(&self) -> &str {
+        &self.name
+    }
+}
+
+/// How many adapters are based on a model.
+#[derive(Debug, Clone)]
+pub(super) struct ModelUse {
+    pub(super) model: ModelName,
+    pub(super) adapters: usize,
+}
+
+impl KeyedValue for ModelUse {
+    fn key(&self) -> &str {
+        self.model.as_str()
+    }
+}
+
+/// The service that a path leads to.
+#[derive(Debug, Clone)]
+pub(super) struct ServicePath {
+    pub(super) path: Arc<str>,
+    pub(super) service: ServiceName,
+}
+
+impl KeyedValue for ServicePath {
+    fn key(&self) -> &str {
+        &self.path
+    }
+}
--- a/crates/amaranth-core/src/ids.rs
+++ b/crates/amaranth-core/src/ids.rs
@@ -99,6 +99,20 @@
     ProcessId, "process"
 );
 
+name_type!(
+    /// The name of a rule that chooses the adapter of a request.
+    RuleName, "rule"
+);
+name_type!(
+    /// The name of a group of endpoints in the configuration.
+    EndpointGroupName, "endpoint group"
+);
+
+name_type!(
+    /// The name of an operator, as configuration changes state it.
+    OperatorName, "operator"
+);
+
 macro_rules! number_type {
     ($(#[$meta:meta])* $name:ident, $role:literal) => {
         $(#[$meta])*
