Add the agent, thin: engines, services and announcements

An agent plans each engine on the control thread, checks the resident list before dispatch and the echo of every chunk, and keeps answers until they are read. Claims run at most once in one life of the agent. Tests on fakes: a whole answer, and three wrong echoes of which no byte passes.

--- /dev/null
+++ b/crates/amaranth-agent/src/main.rs
@@ -0,0 +1,73 @@
+//! The agent program.
+
+use std::process::ExitCode;
+
+use amaranth_agent::control_thread::ControlThread;
+use amaranth_agent::{AgentParts, AgentPorts, AgentProcess, AgentSettings};
+use amaranth_telemetry::arguments::{ProgramArguments, ProgramInfo};
+use amaranth_telemetry::shutdown::ShutdownSignal;
+use amaranth_telemetry::{logs, metrics, settings, spans, usage_exit};
+use miette::{IntoDiagnostic, Result};
+
+const PROGRAM: ProgramInfo = ProgramInfo {
+    name: "amaranth-agent",
+    version: env!("CARGO_PKG_VERSION"),
+    about: "Gives its endpoints orders and work, and keeps their answers until they are read.",
+    example: include_str!("../../../examples/agent.toml"),
+};
+
+fn main() -> ExitCode {
+    let arguments = match ProgramArguments::parse(&PROGRAM, std::env::args_os().skip(1)) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("{}: {error}", PROGRAM.name);
+            return usage_exit();
+        }
+    };
+    let (path, check) = match arguments {
+        ProgramArguments::Print(text) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        ProgramArguments::Run { settings, check } => (settings, check),
+    };
+    let settings = match settings::read::<AgentSettings>(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{:?}", miette::Report::new(error));
+            return usage_exit();
+        }
+    };
+    if check {
+        return ExitCode::SUCCESS;
+    }
+    match run(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+#[tokio::main]
+async fn run(settings: AgentSettings) -> Result<()> {
+    logs::open(settings.log_level).into_diagnostic()?;
+    let export = spans::open(PROGRAM.name, settings.collector.as_deref()).into_diagnostic()?;
+    let mut signal = ShutdownSignal::listen().into_diagnostic()?;
+    let parts = AgentParts {
+        ports: AgentPorts::open(&settings),
+        metrics: metrics::open().into_diagnostic()?,
+        control: ControlThread::spawn("agent-control").into_diagnostic()?,
+    };
+    let agent = AgentProcess::spawn_with(settings, parts)
+        .await
+        .into_diagnostic()?;
+    tokio::select! {
+        name = signal.wait() => log::info!("event=shutdown_requested signal={name}"),
+        () = agent.drained() => log::info!("event=shutdown_requested signal=drain"),
+    }
+    agent.drain().await;
+    export.close();
+    Ok(())
+}
--- /dev/null
+++ b/crates/amaranth-agent/src/server.rs
@@ -0,0 +1,227 @@
+//! The agent's tarpc service.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+
+use amaranth_core::errors::{Error, ErrorKind, Result, not_found};
+use amaranth_core::ids::{EndpointId, RequestId, Sequence};
+use amaranth_core::membership::{
+    AgentAnnouncement, EndpointLoad, EndpointOffer, EndpointReport, ProcessIdentity,
+};
+use amaranth_core::request::{
+    AnswerBatch, CompletionRequest, ServiceAnswer, ServiceClaim, ServiceRequest,
+};
+use amaranth_ports::service::ServicePort;
+use amaranth_wire::agent::{AgentRpc, AgentStatus, AnswerRead, ClaimStanding};
+use tarpc::context::Context;
+use tokio::sync::Notify;
+
+use crate::announcer::HeardRevision;
+use crate::answer_store::AnswerStore;
+use crate::decision_log::DecisionLog;
+use crate::engine_control::{EngineEvent, EngineHandle};
+use crate::entry_directory::EntryDirectory;
+use crate::service_desk::ServiceDesk;
+use crate::settings::AgentLimits;
+
+/// One instance of a plain service behind the agent.
+pub struct ServiceEndpoint {
+    /// What it offers.
+    pub offer: EndpointOffer,
+    /// The instance.
+    pub port: Arc<dyn ServicePort>,
+    /// Whether it answered the last probe.
+    pub ready: AtomicBool,
+    /// Calls in flight.
+    pub in_flight: Arc<AtomicU64>,
+}
+
+/// What the agent's tasks share.
+pub struct AgentCore {
+    /// Who the agent is.
+    pub identity: ProcessIdentity,
+    /// Bounds of memory and time.
+    pub limits: AgentLimits,
+    /// The engines.
+    pub engines: HashMap<EndpointId, EngineHandle>,
+    /// The instances of plain services.
+    pub services: HashMap<EndpointId, ServiceEndpoint>,
+    /// Answers that are running or unread.
+    pub answers: AnswerStore,
+    /// Calls of plain services.
+    pub desk: Arc<ServiceDesk>,
+    /// The entries.
+    pub entries: Arc<EntryDirectory>,
+    /// Recent decisions.
+    pub decisions: Arc<DecisionLog>,
+    /// Told when the entries should learn of a change at once.
+    pub changed: Arc<Notify>,
+    /// The newest configuration revision heard of.
+    pub revision: HeardRevision,
+    /// Whether the agent takes no new work.
+    pub leaving: AtomicBool,
+    /// Counts announcements.
+    pub announcements: AtomicU64,
+}
+
+impl AgentCore {
+    /// Returns the next announcement.
+    pub fn announcement(&self) -> AgentAnnouncement {
+        AgentAnnouncement {
+            identity: self.identity.clone(),
+            sequence: self.announcements.fetch_add(1, Ordering::Relaxed),
+            leaving: self.leaving.load(Ordering::Acquire),
+            revision: self.revision.get(),
+            endpoints: self.reports(),
+        }
+    }
+
+    /// Returns the reports of all endpoints in the order of their names.
+    pub fn reports(&self) -> Vec<EndpointReport> {
+        let engines = self
+            .engines
+            .values()
+            .map(|engine| EndpointReport::clone(&engine.report()));
+        let services = self
+            .services
+            .iter()
+            .map(|(id, service)| service.report(id.clone()));
+        let mut reports: Vec<_> = engines.chain(services).collect();
+        reports.sort_by(|left, right| left.endpoint.cmp(&right.endpoint));
+        reports
+    }
+
+    /// Announces that the agent leaves, and refuses new work from here on.
+    pub fn start_leaving(&self) {
+        if !self.leaving.swap(true, Ordering::AcqRel) {
+            self.decisions
+                .record(format!("event=leaving process={}", self.identity.process));
+            self.changed.notify_one();
+        }
+    }
+
+    /// Returns whether nothing is in flight or unread.
+    pub fn is_idle(&self) -> bool {
+        self.answers.undelivered() == 0 && self.calls_in_flight() == 0
+    }
+
+    fn calls_in_flight(&self) -> u64 {
+        self.services
+            .values()
+            .map(|service| service.in_flight.load(Ordering::Acquire))
+            .sum()
+    }
+
+    fn check_admission(&self) -> Result<()> {
+        if self.leaving.load(Ordering::Acquire) {
+            return Err(Error::new(
+                ErrorKind::Draining,
+                format!("agent {} takes no new work", self.identity.process),
+            ));
+        }
+        Ok(())
+    }
+
+    fn engine(&self, endpoint: &EndpointId) -> Result<&EngineHandle> {
+        self.engines
+            .get(endpoint)
+            .ok_or_else(|| self.unknown_endpoint("engine", endpoint))
+    }
+
+    fn unknown_endpoint(&self, role: &str, endpoint: &EndpointId) -> Error {
+        let process = &self.identity.process;
+        not_found(format!("agent {process} has no {role} \"{endpoint}\""))
+    }
+}
+
+impl ServiceEndpoint {
+    fn report(&self, endpoint: EndpointId) -> EndpointReport {
+        let in_flight = self.in_flight.load(Ordering::Relaxed);
+        EndpointReport {
+            endpoint,
+            offer: self.offer.clone(),
+            ready: self.ready.load(Ordering::Relaxed),
+            load: EndpointLoad {
+                in_flight: u16::try_from(in_flight).unwrap_or(u16::MAX),
+                ..EndpointLoad::default()
+            },
+            resident: Vec::new(),
+            loading: Vec::new(),
+        }
+    }
+}
+
+/// Answers the calls of entries and operators.
+#[derive(Clone)]
+pub struct AgentServer {
+    core: Arc<AgentCore>,
+}
+
+impl AgentServer {
+    /// Opens a server of `core`.
+    pub const fn open(core: Arc<AgentCore>) -> Self {
+        Self { core }
+    }
+}
+
+impl AgentRpc for AgentServer {
+    async fn open_answer(
+        self,
+        _: Context,
+        request: CompletionRequest,
+        wait: Duration,
+    ) -> Result<AnswerBatch> {
+        let id = request.id;
+        if let Ok(slot) = self.core.answers.slot(id) {
+            return Ok(slot.read(Sequence(0), wait).await);
+        }
+        self.core.check_admission()?;
+        let engine = self.core.engine(&request.endpoint)?;
+        let (slot, created) = self.core.answers.open_slot(id, engine);
+        if created {
+            let event = EngineEvent::Arrived(Box::new(request), slot.clone());
+            engine.send(event).await;
+        }
+        Ok(slot.read(Sequence(0), wait).await)
+    }
+
+    async fn read_answer(self, _: Context, read: AnswerRead) -> Result<AnswerBatch> {
+        let slot = self.core.answers.slot(read.id)?;
+        Ok(slot.read(read.from, read.wait).await)
+    }
+
+    async fn cancel_answer(self, _: Context, id: RequestId) -> Result<()> {
+        self.core.answers.cancel(id).await;
+        Ok(())
+    }
+
+    async fn call_service(self, _: Context, request: ServiceRequest) -> Result<ServiceAnswer> {
+        self.core.check_admission()?;
+        let endpoint = &request.endpoint;
+        let Some(service) = self.core.services.get(endpoint) else {
+            return Err(self.core.unknown_endpoint("service", endpoint));
+        };
+        self.core.desk.call(service, request).await
+    }
+
+    async fn settle_claim(self, _: Context, claim: ServiceClaim) -> Result<ClaimStanding> {
+        self.core.desk.settle(&claim)
+    }
+
+    async fn status(self, _: Context) -> AgentStatus {
+        AgentStatus {
+            identity: self.core.identity.clone(),
+            revision: self.core.revision.get(),
+            leaving: self.core.leaving.load(Ordering::Acquire),
+            endpoints: self.core.reports(),
+            decisions: self.core.decisions.recent(),
+        }
+    }
+
+    async fn drain(self, _: Context) -> Result<()> {
+        self.core.start_leaving();
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/amaranth-agent/src/service_desk.rs
@@ -0,0 +1,237 @@
+//! Calls of plain services, those with a claim at most once.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use amaranth_core::errors::{Error, ErrorKind, Result};
+use amaranth_core::ids::{ClaimId, Incarnation};
+use amaranth_core::request::{ServiceAnswer, ServiceClaim, ServiceRequest};
+use amaranth_ports::PortError;
+use amaranth_ports::service::ServicePort;
+use amaranth_wire::agent::ClaimStanding;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::server::ServiceEndpoint;
+use crate::task_group::TaskGroup;
+
+/// What the agent did for a claim.
+#[derive(Debug, Clone)]
+enum ClaimState {
+    Running(watch::Receiver<Option<Result<ServiceAnswer>>>),
+    Ended(Result<ServiceAnswer>),
+    Sealed,
+}
+
+/// The claims of this life of the agent.
+#[derive(Debug, Default)]
+struct ClaimBook {
+    states: HashMap<ClaimId, ClaimState>,
+    ended: VecDeque<(Instant, ClaimId)>,
+}
+
+impl ClaimBook {
+    fn end(&mut self, id: ClaimId, state: ClaimState) {
+        self.states.insert(id, state);
+        self.ended.push_back((Instant::now(), id));
+    }
+
+    fn forget_older(&mut self, window: Duration) {
+        let now = Instant::now();
+        while let Some((ended, id)) = self.ended.front()
+            && now.saturating_duration_since(*ended) > window
+        {
+            self.states.remove(id);
+            self.ended.pop_front();
+        }
+    }
+}
+
+/// Calls plain services.
+#[derive(Debug)]
+pub struct ServiceDesk {
+    incarnation: Incarnation,
+    window: Duration,
+    tasks: TaskGroup,
+    book: Mutex<ClaimBook>,
+}
+
+impl ServiceDesk {
+    /// Opens a desk that runs claims made for `incarnation` and remembers ended ones for `window`.
+    pub fn open(incarnation: Incarnation, window: Duration, tasks: TaskGroup) -> Self {
+        Self {
+            incarnation,
+            window,
+            tasks,
+            book: Mutex::new(ClaimBook::default()),
+        }
+    }
+
+    /// Calls a service, with a claim at most once.
+    ///
+    /// # Errors
+    ///
+    /// The kind says whether the call ran.
+    pub async fn call(
+        self: &Arc<Self>,
+        service: &ServiceEndpoint,
+        request: ServiceRequest,
+    ) -> Result<ServiceAnswer> {
+        let flight = CallFlight::start(service);
+        let Some(claim) = request.claim.clone() else {
+            return flight.send(&request).await;
+        };
+        self.check_incarnation(&claim)?;
+        let mut outcome = self.begin(&claim)?;
+        if let Some(sender) = outcome.sender.take() {
+            let desk = self.clone();
+            // The call outlives its reader: a claim that began ends, whoever still listens.
+            self.tasks.spawn(async move {
+                let result = flight.send(&request).await;
+                desk.lock().end(claim.id, ClaimState::Ended(result.clone()));
+                sender.send_replace(Some(result));
+            });
+        }
+        outcome.wait().await
+    }
+
+    /// Returns what became of a claim, and seals it if it never came.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Fenced` for a claim of another life of this agent, which may have run it.
+    pub fn settle(&self, claim: &ServiceClaim) -> Result<ClaimStanding> {
+        self.check_incarnation(claim)?;
+        let mut book = self.lock();
+        book.forget_older(self.window);
+        let standing = match book.states.get(&claim.id) {
+            Some(ClaimState::Running(_)) => ClaimStanding::Running,
+            Some(ClaimState::Ended(Ok(answer))) => ClaimStanding::Done(answer.clone()),
+            Some(ClaimState::Ended(Err(_))) => ClaimStanding::Unknown,
+            Some(ClaimState::Sealed) => ClaimStanding::Sealed,
+            None => {
+                book.end(claim.id, ClaimState::Sealed);
+                ClaimStanding::Sealed
+            }
+        };
+        Ok(standing)
+    }
+
+    /// Returns the number of claims that run.
+    pub fn running(&self) -> usize {
+        let book = self.lock();
+        book.states.len() - book.ended.len()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ClaimBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn check_incarnation(&self, claim: &ServiceClaim) -> Result<()> {
+        if claim.agent_incarnation == self.incarnation {
+            return Ok(());
+        }
+        Err(Error::new(
+            ErrorKind::Fenced,
+            format!("claim {} names another life of this agent", claim.id),
+        ))
+    }
+
+    fn begin(&self, claim: &ServiceClaim) -> Result<ClaimOutcome> {
+        let mut book = self.lock();
+        book.forget_older(self.window);
+        match book.states.get(&claim.id) {
+            Some(ClaimState::Running(receiver)) => Ok(ClaimOutcome::attached(receiver.clone())),
+            Some(ClaimState::Ended(result)) => Err(match result {
+                Ok(answer) => return Ok(ClaimOutcome::known(answer.clone())),
+                Err(error) => error.clone(),
+            }),
+            Some(ClaimState::Sealed) => Err(Error::new(
+                ErrorKind::Fenced,
+                format!("claim {} is sealed and never runs", claim.id),
+            )),
+            None => {
+                let (sender, receiver) = watch::channel(None);
+                book.states
+                    .insert(claim.id, ClaimState::Running(receiver.clone()));
+                let mut outcome = ClaimOutcome::attached(receiver);
+                outcome.sender = Some(sender);
+                Ok(outcome)
+            }
+        }
+    }
+}
+
+/// The outcome of a claim as one reader waits for it.
+struct ClaimOutcome {
+    sender: Option<watch::Sender<Option<Result<ServiceAnswer>>>>,
+    receiver: watch::Receiver<Option<Result<ServiceAnswer>>>,
+}
+
+impl ClaimOutcome {
+    const fn attached(receiver: watch::Receiver<Option<Result<ServiceAnswer>>>) -> Self {
+        Self {
+            sender: None,
+            receiver,
+        }
+    }
+
+    fn known(answer: ServiceAnswer) -> Self {
+        let (_, receiver) = watch::channel(Some(Ok(answer)));
+        Self::attached(receiver)
+    }
+
+    async fn wait(mut self) -> Result<ServiceAnswer> {
+        let ended = self.receiver.wait_for(Option::is_some).await;
+        match ended.ok().and_then(|outcome| outcome.clone()) {
+            Some(result) => result,
+            None => Err(Error::new(
+                ErrorKind::OutcomeUnknown,
+                "the agent stopped while the call ran",
+            )),
+        }
+    }
+}
+
+/// A call that counts as in flight until this is dropped.
+struct CallFlight {
+    port: Arc<dyn ServicePort>,
+    in_flight: Arc<AtomicU64>,
+}
+
+impl CallFlight {
+    fn start(service: &ServiceEndpoint) -> Self {
+        service.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self {
+            port: service.port.clone(),
+            in_flight: service.in_flight.clone(),
+        }
+    }
+
+    async fn send(&self, request: &ServiceRequest) -> Result<ServiceAnswer> {
+        self.port
+            .call(request, request.time_left)
+            .await
+            .map_err(|error| service_error(&error))
+    }
+}
+
+impl Drop for CallFlight {
+    fn drop(&mut self) {
+        self.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// Returns the error that a caller gets for a failed call of a service.
+fn service_error(error: &PortError) -> Error {
+    let kind = match error {
+        PortError::Uncertain(_) => ErrorKind::OutcomeUnknown,
+        PortError::Limited(_) => ErrorKind::Overloaded,
+        PortError::Unreachable(_) | PortError::Refused(_) | PortError::Fenced(_) => {
+            ErrorKind::NoEndpoint
+        }
+    };
+    Error::new(kind, error.to_string())
+}
--- /dev/null
+++ b/crates/amaranth-agent/tests/fakes/log.rs
@@ -0,0 +1,86 @@
+//! An append-only log in memory.
+
+use std::collections::HashMap;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use amaranth_core::ids::LogOffset;
+use amaranth_ports::log::{LogPage, LogPort, LogRecord, LogStream};
+use amaranth_ports::{PortError, PortResult};
+use async_trait::async_trait;
+use bytes::Bytes;
+
+/// A log whose faults are switched by tests.
+#[derive(Debug, Default)]
+pub struct FakeLog {
+    streams: Mutex<HashMap<LogStream, Vec<Bytes>>>,
+    /// Whether the log can't be reached.
+    pub down: AtomicBool,
+    /// Whether appends take effect and their answers are lost.
+    pub loses_answers: AtomicBool,
+}
+
+impl FakeLog {
+    /// Returns the records of a stream.
+    pub fn records(&self, stream: LogStream) -> Vec<Bytes> {
+        let streams = self.streams.lock().unwrap();
+        streams.get(&stream).cloned().unwrap_or_default()
+    }
+
+    /// Appends on behalf of another process.
+    pub fn push(&self, stream: LogStream, record: Bytes) -> LogOffset {
+        let mut streams = self.streams.lock().unwrap();
+        let records = streams.entry(stream).or_default();
+        records.push(record);
+        LogOffset(records.len() as u64 - 1)
+    }
+
+    fn check(&self) -> PortResult<()> {
+        if self.down.load(Ordering::SeqCst) {
+            return Err(PortError::Unreachable("the log is down".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+#[async_trait]
+impl LogPort for FakeLog {
+    async fn append(&self, stream: LogStream, record: Bytes) -> PortResult<LogOffset> {
+        self.check()?;
+        let offset = self.push(stream, record);
+        if self.loses_answers.load(Ordering::SeqCst) {
+            return Err(PortError::Uncertain("the answer was lost".to_owned()));
+        }
+        Ok(offset)
+    }
+
+    async fn read(
+        &self,
+        stream: LogStream,
+        from: LogOffset,
+        limit: usize,
+        wait: Duration,
+    ) -> PortResult<LogPage> {
+        self.check()?;
+        let kept = self.records(stream);
+        if from.0 >= kept.len() as u64 {
+            tokio::time::sleep(wait).await;
+            self.check()?;
+        }
+        let kept = self.records(stream);
+        let numbered = kept.iter().cloned().enumerate();
+        Ok(LogPage {
+            records: numbered
+                .skip(usize::try_from(from.0).unwrap())
+                .take(limit)
+                .map(|(offset, data)| LogRecord {
+                    offset: LogOffset(offset as u64),
+                    data,
+                })
+                .collect(),
+            first_kept: LogOffset(0),
+            end: LogOffset(kept.len() as u64),
+        })
+    }
+}
