Replay the placement decisions against baselines

Cause: the policy had no measurement. The replay found that the planner kept pinned adapters that an engine's inventory lacks and dispatched to them after a restart; they now count as lost.

--- a/crates/amaranth-lab/src/commands.rs
+++ b/crates/amaranth-lab/src/commands.rs
@@ -5,6 +5,8 @@
 
 use amaranth_telemetry::usage_exit;
 
+use crate::policy;
+
 const HELP: &str = "\
 amaranth-lab: the demo and the experiments of amaranthfield, on loopback
 
@@ -12,6 +14,7 @@
 
 Commands:
   demo      Runs both deployments' shapes and checks every promise
+  policy    Replays placement decisions against baselines
   help      Prints this help
 
 Each command has its own --help.
@@ -34,6 +37,7 @@
             println!("amaranth-lab {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
+        Some("policy") => policy::run(rest),
         _ => {
             eprintln!("amaranth-lab: unknown command {command:?}; see amaranth-lab help");
             usage_exit()
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod caller;
 pub mod checker;
 pub mod commands;
+pub mod policy;
--- /dev/null
+++ b/crates/amaranth-lab/src/policy/fleet.rs
@@ -0,0 +1,251 @@
+//! What the replay asks of a policy, and the policy of the product.
+
+use std::collections::HashMap;
+use std::str::FromStr;
+
+use amaranth_core::ids::{AdapterRef, EndpointId, ModelName, RequestId};
+use amaranth_core::membership::{EndpointLoad, EndpointOffer, EndpointReport};
+use amaranth_core::request::{ModelTarget, RequestPriority};
+use amaranth_core::time::Timestamp;
+use amaranth_core::units::TokenCount;
+use amaranth_placement::broker::{BrokerOptions, BrokerReply, LoadBroker, LoadKey};
+use amaranth_placement::planner::{
+    EnginePlanner, PlannedRequest, PlannerCommands, PlannerEvent, PlannerOptions,
+};
+use amaranth_placement::router::{EndpointRouter, RouteQuery};
+use smallvec::SmallVec;
+
+use crate::policy::deployment::{DeploymentSize, TRANSIT_LIMIT};
+use crate::policy::workload::{ReplayRequest, ReplayWorkload};
+
+/// The base model of both deployments.
+const BASE_MODEL: &str = "base";
+
+/// The decisions that a run replays, for all entries and engines of a deployment.
+pub trait ReplayFleet {
+    /// Returns the engine for a request that meets an entry, and counts it as sent.
+    fn route(&mut self, now: Timestamp, request: usize, excluded: &[usize]) -> Option<usize>;
+
+    /// Notes that the entry of `request` learned that it ended on `engine`.
+    fn finished(&mut self, now: Timestamp, request: usize, engine: usize);
+
+    /// Takes a report that was made a while ago.
+    fn take_report(&mut self, now: Timestamp, engine: usize, report: EndpointReport);
+
+    /// Forgets an engine that can't be reached.
+    fn remove(&mut self, engine: usize);
+
+    /// Hands an event to the agent of an engine.
+    fn handle(&mut self, now: Timestamp, engine: usize, event: PlannerEvent) -> PlannerCommands;
+
+    /// Makes the report of an agent.
+    fn report(&self, engine: usize, ready: bool) -> EndpointReport;
+
+    /// Asks the broker for a permit.
+    fn request_permit(
+        &mut self,
+        now: Timestamp,
+        engine: usize,
+        adapter: &AdapterRef,
+        saved_wait_ms: u64,
+    ) -> BrokerReply;
+
+    /// Returns a permit to the broker.
+    fn release_permit(&mut self, engine: usize, adapter: &AdapterRef);
+}
+
+/// Names that the replay gives to engines and requests.
+#[derive(Debug, Clone)]
+pub struct FleetNames {
+    /// The engines by index.
+    pub engines: Vec<EndpointId>,
+    /// The targets by index of the adapter.
+    pub targets: Vec<ModelTarget>,
+    /// The base model.
+    pub base: ModelName,
+    indexes: HashMap<AdapterRef, usize>,
+}
+
+impl FleetNames {
+    /// Names the engines of a deployment and the adapters of a workload.
+    pub fn new(size: &DeploymentSize, workload: &ReplayWorkload) -> Self {
+        let base = ModelName::from_str(BASE_MODEL).expect("the name is well formed");
+        let engine =
+            |index| EndpointId::from_str(&format!("engine-{index:03}")).expect("well formed");
+        let target = |adapter: &AdapterRef| ModelTarget::Adapter {
+            base: base.clone(),
+            adapter: adapter.clone(),
+        };
+        let indexed = |(index, adapter): (usize, &AdapterRef)| (adapter.clone(), index);
+        Self {
+            engines: (0..size.engines).map(engine).collect(),
+            targets: workload.adapters.iter().map(target).collect(),
+            indexes: workload.adapters.iter().enumerate().map(indexed).collect(),
+            base,
+        }
+    }
+
+    /// Returns the index of an adapter.
+    pub fn adapter_index(&self, adapter: &AdapterRef) -> usize {
+        self.indexes[adapter]
+    }
+
+    /// Returns the adapter at an index.
+    pub fn adapter(&self, index: usize) -> &AdapterRef {
+        self.targets[index]
+            .adapter()
+            .expect("every target has an adapter")
+    }
+
+    /// Returns a request as planners see it.
+    pub fn planned(&self, index: usize, request: &ReplayRequest) -> PlannedRequest {
+        PlannedRequest {
+            id: request_id(index),
+            target: self.targets[request.adapter].clone(),
+            deadline: request.at + request.deadline,
+            priority: RequestPriority::Normal,
+            prompt_tokens: TokenCount(request.prompt_tokens),
+            max_tokens: TokenCount(request.output_tokens),
+        }
+    }
+
+    /// Returns what every engine of the deployment offers.
+    pub fn offer(&self, size: &DeploymentSize) -> EndpointOffer {
+        EndpointOffer::Engine {
+            bases: SmallVec::from_elem(self.base.clone(), 1),
+            adapter_slots: size.adapter_slots as u16,
+            batch_slots: size.batch_slots as u16,
+        }
+    }
+}
+
+/// Returns the id of the request at an index.
+pub const fn request_id(index: usize) -> RequestId {
+    RequestId(index as u128)
+}
+
+/// Returns the index of a request.
+pub const fn request_index(id: RequestId) -> usize {
+    id.0 as usize
+}
+
+/// Returns the limits that every policy's broker keeps.
+pub fn broker_options(size: &DeploymentSize) -> BrokerOptions {
+    BrokerOptions {
+        load_rate: size.load_rate,
+        transit_limit: TRANSIT_LIMIT,
+        ..BrokerOptions::default()
+    }
+}
+
+/// The product's own decisions: a router for each entry, a planner for each engine, one broker.
+pub struct AmaranthFleet {
+    size: DeploymentSize,
+    names: FleetNames,
+    requests: Vec<ReplayRequest>,
+    routers: Vec<EndpointRouter>,
+    planners: Vec<EnginePlanner>,
+    broker: LoadBroker,
+}
+
+impl AmaranthFleet {
+    /// Opens the decisions for a deployment.
+    pub fn open(size: DeploymentSize, names: FleetNames, workload: &ReplayWorkload) -> Self {
+        let options = PlannerOptions {
+            adapter_slots: size.adapter_slots,
+            batch_slots: size.batch_slots,
+            ..PlannerOptions::default()
+        };
+        Self {
+            size,
+            names,
+            requests: workload.requests.clone(),
+            routers: (0..size.entries).map(|_| EndpointRouter::open()).collect(),
+            planners: (0..size.engines)
+                .map(|_| EnginePlanner::open(options))
+                .collect(),
+            broker: LoadBroker::open(broker_options(&size)),
+        }
+    }
+
+    fn load_key(&self, engine: usize, adapter: &AdapterRef) -> LoadKey {
+        LoadKey {
+            endpoint: self.names.engines[engine].clone(),
+            adapter: adapter.clone(),
+        }
+    }
+}
+
+impl ReplayFleet for AmaranthFleet {
+    fn route(&mut self, now: Timestamp, request: usize, excluded: &[usize]) -> Option<usize> {
+        let arrival = &self.requests[request];
+        let query = RouteQuery {
+            target: self.names.targets[arrival.adapter].clone(),
+            excluded: excluded
+                .iter()
+                .map(|&engine| self.names.engines[engine].clone())
+                .collect(),
+        };
+        let router = &mut self.routers[arrival.entry];
+        let choice = router.route(now, &query)?;
+        router.started(&choice.endpoint);
+        self.names
+            .engines
+            .iter()
+            .position(|engine| *engine == choice.endpoint)
+    }
+
+    fn finished(&mut self, _now: Timestamp, request: usize, engine: usize) {
+        let entry = self.requests[request].entry;
+        self.routers[entry].finished(&self.names.engines[engine]);
+    }
+
+    fn take_report(&mut self, now: Timestamp, _engine: usize, report: EndpointReport) {
+        for router in &mut self.routers {
+            router.report(now, report.clone());
+        }
+    }
+
+    fn remove(&mut self, engine: usize) {
+        for router in &mut self.routers {
+            router.remove(&self.names.engines[engine]);
+        }
+    }
+
+    fn handle(&mut self, now: Timestamp, engine: usize, event: PlannerEvent) -> PlannerCommands {
+        self.planners[engine].handle(now, event)
+    }
+
+    fn report(&self, engine: usize, ready: bool) -> EndpointReport {
+        let planner = &self.planners[engine];
+        let loading: Vec<AdapterRef> = planner.loading().cloned().collect();
+        EndpointReport {
+            endpoint: self.names.engines[engine].clone(),
+            offer: self.names.offer(&self.size),
+            ready,
+            load: EndpointLoad {
+                in_flight: planner.in_flight() as u16,
+                queued: planner.queued() as u16,
+                loads_pending: loading.len() as u16,
+            },
+            resident: planner.resident().cloned().collect(),
+            loading,
+        }
+    }
+
+    fn request_permit(
+        &mut self,
+        now: Timestamp,
+        engine: usize,
+        adapter: &AdapterRef,
+        saved_wait_ms: u64,
+    ) -> BrokerReply {
+        let key = self.load_key(engine, adapter);
+        self.broker.request(now, key, saved_wait_ms, false)
+    }
+
+    fn release_permit(&mut self, engine: usize, adapter: &AdapterRef) {
+        let key = self.load_key(engine, adapter);
+        self.broker.release(&key);
+    }
+}
--- a/crates/amaranth-placement/src/lib.rs
+++ b/crates/amaranth-placement/src/lib.rs
@@ -4,7 +4,9 @@
 //! Nothing here does I/O, reads a clock or draws random numbers.
 //!
 //! [`router`] runs in an entry and ranks endpoints; [`planner`] runs in an agent, one for each
-//! engine, and owns its queue, loads, evictions and pins.
+//! engine, and owns its queue, loads, evictions and pins; [`broker`] runs in the entry that holds
+//! the duty and shares out the store's load rate.
 
+pub mod broker;
 pub mod planner;
 pub mod router;
--- a/crates/amaranth-placement/src/planner.rs
+++ b/crates/amaranth-placement/src/planner.rs
@@ -60,6 +60,8 @@
     Dispatch(RequestId),
     /// Ask the broker for leave to load, stating the waiting that it saves in milliseconds.
     RequestPermit(AdapterRef, u64),
+    /// Give a permit back unused.
+    ReturnPermit(AdapterRef),
     /// Order the load.
     Load(AdapterRef),
     /// Order the unload.
@@ -211,6 +213,10 @@
             .and_then(|adapter| self.slots.get_mut(adapter))
         {
             slot.pins = slot.pins.saturating_sub(1);
+            let lost = slot.phase == AdapterPhase::Unloading && slot.pins == 0;
+            if let Some(adapter) = target.adapter().filter(|_| lost) {
+                self.slots.remove(adapter);
+            }
         }
     }
 
@@ -244,6 +250,11 @@
         self.slots.retain(|adapter, slot| {
             slot.pins > 0 || slot.phase != AdapterPhase::Resident || adapters.contains(adapter)
         });
+        for (adapter, slot) in &mut self.slots {
+            if slot.phase == AdapterPhase::Resident && !adapters.contains(adapter) {
+                slot.phase = AdapterPhase::Unloading;
+            }
+        }
         for adapter in adapters {
             self.hold(adapter.clone(), now);
         }
