Return unused permits from the agent

Cause: the planner gained the command ReturnPermit, and the agent's match over commands did not build any more. The agent now gives the permit back to its broker. Test: the workspace builds; agent, placement and lab tests pass.

--- a/crates/amaranth-agent/src/engine_control.rs
+++ b/crates/amaranth-agent/src/engine_control.rs
@@ -242,6 +242,7 @@
         match command {
             PlannerCommand::Dispatch(id) => self.dispatch(id),
             PlannerCommand::RequestPermit(adapter, saved) => self.request_permit(adapter, saved),
+            PlannerCommand::ReturnPermit(adapter) => self.return_permit(adapter),
             PlannerCommand::Load(adapter) => self.load(adapter),
             PlannerCommand::Unload(adapter) => self.unload(adapter),
             PlannerCommand::Refuse(id, error) => self.refuse(id, error),
@@ -309,6 +310,15 @@
         });
     }
 
+    /// Gives a permit back whose load is no longer wanted.
+    fn return_permit(&self, adapter: AdapterRef) {
+        let endpoint = self.endpoint.clone();
+        let permits = self.context.permits.clone();
+        self.context
+            .traffic
+            .spawn(async move { permits.release(&endpoint, &adapter, true).await });
+    }
+
     fn load(&mut self, adapter: AdapterRef) {
         self.begin_order();
         let port = self.port.clone();
