Run a whole fleet in one process

Cause: the demo and the fault runs need stand-ins, agents and entries of both deployments. Result: a fleet of either shape starts on loopback; the demo drives it with callers, changes its configuration, drains an agent and judges the record.

--- a/crates/amaranth-entry/src/directory.rs
+++ b/crates/amaranth-entry/src/directory.rs
@@ -117,6 +117,11 @@
         self.agents.values().map(|(_, link)| link)
     }
 
+    /// Returns the number of endpoints that agents have announced.
+    pub fn endpoint_count(&self) -> usize {
+        self.endpoints.len()
+    }
+
     /// Returns the last announcement of each agent.
     pub fn announcements(&self) -> &[AgentAnnouncement] {
         &self.announcements
--- a/crates/amaranth-entry/src/process.rs
+++ b/crates/amaranth-entry/src/process.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use amaranth_core::errors::{Error, ErrorKind, Result};
-use amaranth_core::ids::Incarnation;
+use amaranth_core::ids::{ConfigRevision, Incarnation};
 use amaranth_core::membership::ProcessIdentity;
 use amaranth_core::time::MonotonicClock;
 use amaranth_ports::log::LogPort;
@@ -120,6 +120,21 @@
         self.state.ready.get()
     }
 
+    /// Returns the life of this process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.state.identity.incarnation
+    }
+
+    /// Returns the configuration revision in force.
+    pub fn revision(&self) -> ConfigRevision {
+        self.state.catalogue.load().revision
+    }
+
+    /// Returns the number of endpoints that agents have announced.
+    pub fn known_endpoints(&self) -> usize {
+        self.state.directory.load().endpoint_count()
+    }
+
     /// Returns when an operator asked for the entry to stop.
     pub async fn drain_requested(&mut self) {
         // An error means that the tarpc service is gone, and with it whoever could ask.
--- a/crates/amaranth-lab/src/commands.rs
+++ b/crates/amaranth-lab/src/commands.rs
@@ -5,6 +5,7 @@
 
 use amaranth_telemetry::usage_exit;
 
+use crate::demo;
 use crate::policy;
 
 const HELP: &str = "\
@@ -37,6 +38,7 @@
             println!("amaranth-lab {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
+        Some("demo") => demo::run(rest),
         Some("policy") => policy::run(rest),
         _ => {
             eprintln!("amaranth-lab: unknown command {command:?}; see amaranth-lab help");
--- /dev/null
+++ b/crates/amaranth-lab/src/demo/report.rs
@@ -0,0 +1,166 @@
+//! The table at the end of the demo.
+
+use std::collections::BTreeMap;
+use std::fmt;
+use std::time::Duration;
+
+use crate::checker::evidence::{CallResult, CallWish, RunEvidence};
+use crate::checker::verdict::{PromiseVerdict, is_clean};
+use crate::fleet::demo_fleet::DemoFleet;
+use crate::fleet::shape::Deployment;
+use crate::workload::stall_report::TimeHistogram;
+
+/// Outcomes of one kind of call.
+#[derive(Debug, Clone, Copy, Default)]
+struct OutcomeCounts {
+    sent: u64,
+    answered: u64,
+    refused: u64,
+    broken: u64,
+}
+
+impl OutcomeCounts {
+    fn add(&mut self, result: &CallResult) {
+        self.sent += 1;
+        match result {
+            CallResult::Answered { .. } => self.answered += 1,
+            CallResult::Refused { .. } => self.refused += 1,
+            CallResult::Broken { .. } => self.broken += 1,
+        }
+    }
+}
+
+/// What the engines did, summed.
+#[derive(Debug, Clone, Copy, Default)]
+struct EngineTotals {
+    tokens: u64,
+    loads: u64,
+    unloads: u64,
+    steps: u64,
+    step_requests: u64,
+}
+
+/// The result of one deployment's run.
+#[derive(Debug)]
+pub struct DemoReport {
+    deployment: Deployment,
+    elapsed: Duration,
+    completions: OutcomeCounts,
+    bookings: OutcomeCounts,
+    refusals: BTreeMap<String, u64>,
+    engines: EngineTotals,
+    batch_slots: u16,
+    first_token: [Duration; 3],
+    verdicts: Vec<PromiseVerdict>,
+}
+
+impl DemoReport {
+    /// Collects the figures of a run.
+    pub fn collect(
+        fleet: &DemoFleet,
+        evidence: &RunEvidence,
+        verdicts: Vec<PromiseVerdict>,
+        first_token: &TimeHistogram,
+        elapsed: Duration,
+    ) -> Self {
+        let mut report = Self {
+            deployment: fleet.shape.deployment,
+            elapsed,
+            completions: OutcomeCounts::default(),
+            bookings: OutcomeCounts::default(),
+            refusals: BTreeMap::new(),
+            engines: engine_totals(fleet),
+            batch_slots: fleet.shape.batch_slots,
+            first_token: [0.5, 0.95, 0.99].map(|share| first_token.quantile(share)),
+            verdicts,
+        };
+        for call in &evidence.calls {
+            match call.wish {
+                CallWish::Completion { .. } => report.completions.add(&call.result),
+                CallWish::Booking { .. } => report.bookings.add(&call.result),
+            }
+            if let CallResult::Refused { code, .. } = &call.result {
+                *report.refusals.entry(code.clone()).or_default() += 1;
+            }
+        }
+        report
+    }
+
+    /// Returns whether every promise held and calls were answered at all.
+    pub fn is_clean(&self) -> bool {
+        is_clean(&self.verdicts) && self.completions.answered > 0 && self.bookings.answered > 0
+    }
+
+    /// Returns tokens over what full batches would have made in the same steps.
+    fn batch_fill(&self) -> f64 {
+        let full = self.engines.steps * u64::from(self.batch_slots);
+        if full == 0 {
+            return 0.0;
+        }
+        self.engines.step_requests as f64 / full as f64
+    }
+}
+
+fn engine_totals(fleet: &DemoFleet) -> EngineTotals {
+    let mut totals = EngineTotals::default();
+    for named in &fleet.engines {
+        let counters = named.engine.counters();
+        totals.tokens += counters.tokens;
+        totals.loads += counters.loads;
+        totals.unloads += counters.unloads;
+        totals.steps += counters.steps;
+        totals.step_requests += counters.step_requests;
+    }
+    totals
+}
+
+impl fmt::Display for DemoReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{} ({:.1} s)",
+            self.deployment,
+            self.elapsed.as_secs_f64()
+        )?;
+        for (name, counts) in [
+            ("completions", self.completions),
+            ("bookings", self.bookings),
+        ] {
+            writeln!(
+                formatter,
+                "  {name:<22} {:>6} sent {:>6} answered {:>5} refused {:>5} broken",
+                counts.sent, counts.answered, counts.refused, counts.broken
+            )?;
+        }
+        for (code, count) in &self.refusals {
+            writeln!(formatter, "    refused: {code:<28} {count:>6}")?;
+        }
+        let [p50, p95, p99] = self.first_token.map(|time| time.as_millis());
+        writeln!(
+            formatter,
+            "  {:<22} p50 {p50} ms, p95 {p95} ms, p99 {p99} ms",
+            "first token"
+        )?;
+        writeln!(
+            formatter,
+            "  {:<22} {} tokens, batch fill {:.2}, {} loads, {} evictions",
+            "engines",
+            self.engines.tokens,
+            self.batch_fill(),
+            self.engines.loads,
+            self.engines.unloads
+        )?;
+        for verdict in &self.verdicts {
+            let promise = verdict.promise.to_string();
+            writeln!(
+                formatter,
+                "  {promise:<22} {:>6} checks {:>4} violations",
+                verdict.checks, verdict.violations
+            )?;
+            for example in &verdict.examples {
+                writeln!(formatter, "    broke: {example}")?;
+            }
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/amaranth-lab/src/fleet.rs
@@ -0,0 +1,6 @@
+//! A whole fleet in one process on loopback: stand-ins, agents and entries.
+
+pub mod configuration;
+pub mod demo_fleet;
+pub mod member;
+pub mod shape;
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -3,4 +3,7 @@
 pub mod caller;
 pub mod checker;
 pub mod commands;
+pub mod demo;
+pub mod fleet;
 pub mod policy;
+pub mod workload;
