--- a/crates/amaranth-config/src/catalogue/mod.rs
+++ b/crates/amaranth-config/src/catalogue/mod.rs
@@ -11,7 +11,7 @@
 
 use std::sync::{Arc, LazyLock};
 
-use amaranth_core::ids::{AdapterName, ConfigRevision, EndpointId};
+use amaranth_core::ids::{AdapterName, ConfigRevision, EndpointId, ModelName, ServiceName};
 
 use crate::entries::{
     AdapterEntry, ConfigEntry, ConfigKey, EndpointGroupEntry, LimitsEntry, ModelEntry, PolicyEntry,
@@ -100,6 +100,16 @@
         self.services.iter().map(|slot| &*slot.entry)
     }
 
+    /// Returns the service of that name.
+    pub fn service(&self, name: &ServiceName) -> Option<&ServiceEntry> {
+        self.services.get(name.as_str()).map(|slot| &*slot.entry)
+    }
+
+    /// Returns the models that rules answer to, in no particular order.
+    pub fn rule_models(&self) -> impl Iterator<Item = &ModelName> {
+        self.aliases.iter().map(|alias| &alias.model)
+    }
+
     /// Returns the groups of endpoints in no particular order.
     pub fn endpoint_groups(&self) -> impl Iterator<Item = &EndpointGroupEntry> {
         self.endpoint_groups.iter().map(|slot| &*slot.entry)
--- a/crates/amaranth-config/src/lib.rs
+++ b/crates/amaranth-config/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalogue;
 pub mod change;
 pub mod deletions;
+pub mod duty;
 pub mod entries;
 pub mod envelope;
 pub mod folder;
--- /dev/null
+++ b/crates/amaranth-follow/src/lib.rs
@@ -0,0 +1,42 @@
+//! Keeps the configuration of a running process up to date with the log.
+//!
+//! A process spawns one [`ConfigFollower`] and hands its [`ConfigView`] to whoever needs the
+//! catalogue:
+//!
+//! ```no_run
+//! # use std::sync::Arc;
+//! # use amaranth_follow::{ConfigFollower, FollowerOptions};
+//! # use amaranth_ports::log::LogPort;
+//! # async fn example(log: Arc<dyn LogPort>) {
+//! let follower = ConfigFollower::spawn(log, FollowerOptions::default());
+//! let view = follower.view();
+//! // Waits until the process is ready: the log's tail is read.
+//! view.caught_up().await;
+//! // Once for each request; the request keeps this catalogue to its end.
+//! let catalogue = view.catalogue();
+//! println!("routed by revision {}", catalogue.revision());
+//! # }
+//! ```
+//!
+//! An entry also sets [`FollowerOptions::duty`] and tells its rank among the live entries by
+//! [`ConfigFollower::set_rank`], so that snapshots get written; it answers
+//! `EntryRpc::snapshot_part` by [`ConfigView::snapshot_part`], and passes the addresses of
+//! other entries in [`FollowerOptions::peers`]. An agent passes its entries there.
+//!
+//! Metrics, without labels, so that one process shows one line each: `config_revision`,
+//! `config_lag_records`, `config_caught_up`, `config_accepted_total`, `config_refused_total`,
+//! `config_log_failures_total`, `config_snapshots_written_total`.
+
+mod bootstrap;
+mod follower;
+mod options;
+mod parts;
+mod snapshot_writer;
+mod task;
+mod verdict_report;
+mod view;
+
+pub use bootstrap::{PeerSnapshots, SnapshotSource};
+pub use follower::ConfigFollower;
+pub use options::FollowerOptions;
+pub use view::{ConfigView, FollowerState};
--- /dev/null
+++ b/crates/amaranth-follow/src/snapshot_writer.rs
@@ -0,0 +1,41 @@
+//! Appends a snapshot to the log, part by part.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_ports::PortError;
+use amaranth_ports::log::{LogPort, LogStream};
+use bytes::Bytes;
+
+/// Appends of one part before the snapshot is given up.
+const PART_ATTEMPTS: u32 = 4;
+
+/// Wait between two appends of one part.
+const PART_RETRY: Duration = Duration::from_millis(500);
+
+/// Appends `records` in order and returns whether all are in the log.
+///
+/// A part whose answer was lost is appended again: readers pass over a part that they have.
+pub(crate) async fn write_snapshot(log: Arc<dyn LogPort>, records: Vec<Bytes>) -> bool {
+    for record in records {
+        if !append_part(&*log, record).await {
+            return false;
+        }
+    }
+    metrics::counter!("config_snapshots_written_total").increment(1);
+    true
+}
+
+async fn append_part(log: &dyn LogPort, record: Bytes) -> bool {
+    for _ in 0..PART_ATTEMPTS {
+        match log.append(LogStream::Configuration, record.clone()).await {
+            Ok(_) => return true,
+            Err(PortError::Limited(delay)) => tokio::time::sleep(delay).await,
+            Err(error) => {
+                log::warn!("event=config_snapshot_append_failed error={error:?}");
+                tokio::time::sleep(PART_RETRY).await;
+            }
+        }
+    }
+    false
+}
--- /dev/null
+++ b/crates/amaranth-follow/src/view.rs
@@ -0,0 +1,113 @@
+//! What the rest of a process sees of the configuration.
+
+use std::sync::Arc;
+
+use amaranth_config::catalogue::Catalogue;
+use amaranth_config::history::HistoryStanding;
+use amaranth_core::Result;
+use amaranth_core::errors::internal;
+use amaranth_core::ids::{ConfigRevision, LogOffset};
+use amaranth_wire::entry::SnapshotPart;
+use arc_swap::ArcSwap;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Where a follower stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FollowerState {
+    /// The revision in force in this process.
+    pub revision: ConfigRevision,
+    /// The offset of the next record to be read.
+    pub next: LogOffset,
+    /// Records in the log that are not ruled yet, as the last read told.
+    pub lag_records: u64,
+    /// Whether the process has caught up with the log since it started.
+    pub caught_up: bool,
+    /// Whether the last read of the log failed.
+    pub log_failing: bool,
+    /// How far the configuration can be relied on.
+    pub standing: HistoryStanding,
+}
+
+impl Default for FollowerState {
+    fn default() -> Self {
+        Self {
+            revision: ConfigRevision::default(),
+            next: LogOffset::default(),
+            lag_records: 0,
+            caught_up: false,
+            log_failing: false,
+            standing: HistoryStanding::Complete,
+        }
+    }
+}
+
+/// Asks the follower's task for a part of a snapshot.
+#[derive(Debug)]
+pub(crate) struct PartRequest {
+    pub(crate) revision: Option<ConfigRevision>,
+    pub(crate) index: u32,
+    pub(crate) reply: oneshot::Sender<Result<SnapshotPart>>,
+}
+
+/// The configuration as a follower keeps it. Clones see the same.
+#[derive(Debug, Clone)]
+pub struct ConfigView {
+    pub(crate) catalogue: Arc<ArcSwap<Catalogue>>,
+    pub(crate) state: watch::Receiver<FollowerState>,
+    pub(crate) parts: mpsc::Sender<PartRequest>,
+}
+
+impl ConfigView {
+    /// Returns the catalogue in force. It never waits.
+    pub fn catalogue(&self) -> Arc<Catalogue> {
+        self.catalogue.load_full()
+    }
+
+    /// Returns the revision in force.
+    pub fn revision(&self) -> ConfigRevision {
+        self.catalogue.load().revision()
+    }
+
+    /// Returns where the follower stands.
+    pub fn state(&self) -> FollowerState {
+        *self.state.borrow()
+    }
+
+    /// Returns a receiver that tells each change of the follower's state.
+    pub fn watch(&self) -> watch::Receiver<FollowerState> {
+        self.state.clone()
+    }
+
+    /// Waits until the process has caught up, and returns false if the follower ends before.
+    pub async fn caught_up(&self) -> bool {
+        let mut state = self.state.clone();
+        state.wait_for(|state| state.caught_up).await.is_ok()
+    }
+
+    /// Returns one part of a snapshot of the configuration, for a peer.
+    ///
+    /// Without a revision, a snapshot of the present one is begun.
+    ///
+    /// # Errors
+    ///
+    /// `NotReady` while the follower has not caught up, `NotFound` when the snapshot of that
+    /// revision is no longer held or has no such part.
+    pub async fn snapshot_part(
+        &self,
+        revision: Option<ConfigRevision>,
+        index: u32,
+    ) -> Result<SnapshotPart> {
+        let (reply, answer) = oneshot::channel();
+        let request = PartRequest {
+            revision,
+            index,
+            reply,
+        };
+        let ended = |_| internal("the configuration follower has ended");
+        self.parts
+            .send(request)
+            .await
+            .map_err(|_| internal("the configuration follower has ended"))?;
+        answer.await.map_err(ended)?
+    }
+}
