--- a/crates/amaranth-standin/src/engine/mod.rs
+++ b/crates/amaranth-standin/src/engine/mod.rs
@@ -91,6 +91,11 @@
         self.server.kill();
         self.batching.abort();
     }
+
+    /// Stops taking calls and returns when those in flight have ended.
+    pub async fn drain(mut self) {
+        self.server.drain().await;
+    }
 }
 
 impl Drop for EngineStandin {
--- a/crates/amaranth-standin/src/log_standin.rs
+++ b/crates/amaranth-standin/src/log_standin.rs
@@ -250,6 +250,11 @@
     pub fn kill(&self) {
         self.server.kill();
     }
+
+    /// Stops taking calls and returns when those in flight have ended.
+    pub async fn drain(mut self) {
+        self.server.drain().await;
+    }
 }
 
 /// What becomes of one append.
--- a/crates/amaranth-standin/src/server.rs
+++ b/crates/amaranth-standin/src/server.rs
@@ -8,11 +8,13 @@
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio_util::sync::CancellationToken;
 
 /// An HTTP server that can be ended abruptly with all its connections.
 #[derive(Debug)]
 pub struct StandinServer {
     address: SocketAddr,
+    stopping: CancellationToken,
     task: JoinHandle<()>,
 }
 
@@ -25,8 +27,13 @@
     pub async fn bind(address: SocketAddr, router: Router) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let task = tokio::spawn(accept_connections(listener, router));
-        Ok(Self { address, task })
+        let stopping = CancellationToken::new();
+        let task = tokio::spawn(accept_connections(listener, router, stopping.clone()));
+        Ok(Self {
+            address,
+            stopping,
+            task,
+        })
     }
 
     /// Returns the bound address.
@@ -38,6 +45,14 @@
     pub fn kill(&self) {
         self.task.abort();
     }
+
+    /// Closes the listener and returns when the calls in flight have ended.
+    pub async fn drain(&mut self) {
+        self.stopping.cancel();
+        if let Err(error) = (&mut self.task).await {
+            log::debug!("event=server_ended error={error:?}");
+        }
+    }
 }
 
 impl Drop for StandinServer {
@@ -46,31 +61,44 @@
     }
 }
 
-/// Accepts connections until the task is aborted, which drops and so closes them all.
-async fn accept_connections(listener: TcpListener, router: Router) {
+/// Accepts connections until it is told to stop, then lets their calls end.
+///
+/// Aborting the task drops and so closes every connection.
+async fn accept_connections(listener: TcpListener, router: Router, stopping: CancellationToken) {
     let mut connections = JoinSet::new();
     loop {
         let accepted = tokio::select! {
+            () = stopping.cancelled() => break,
             accepted = listener.accept() => accepted,
             Some(_) = connections.join_next() => continue,
         };
         match accepted {
             Ok((stream, _)) => {
-                connections.spawn(serve_connection(stream, router.clone()));
+                connections.spawn(serve_connection(stream, router.clone(), stopping.clone()));
             }
             Err(error) => log::warn!("event=connection_refused error={error:?}"),
         }
     }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
 }
 
-async fn serve_connection(stream: TcpStream, router: Router) {
+async fn serve_connection(stream: TcpStream, router: Router, stopping: CancellationToken) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("event=nodelay_refused error={error:?}");
     }
     let service = TowerToHyperService::new(router);
     let connection =
         hyper::server::conn::http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    let mut connection = std::pin::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stopping.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
         log::debug!("event=connection_broken error={error:?}");
     }
 }
--- a/crates/amaranth-standin/src/service_standin.rs
+++ b/crates/amaranth-standin/src/service_standin.rs
@@ -166,6 +166,11 @@
     pub fn kill(&self) {
         self.server.kill();
     }
+
+    /// Stops taking calls and returns when those in flight have ended.
+    pub async fn drain(mut self) {
+        self.server.drain().await;
+    }
 }
 
 async fn health(State(state): State<Arc<ServiceState>>) -> Response {
--- a/crates/amaranth-standin/src/store_standin.rs
+++ b/crates/amaranth-standin/src/store_standin.rs
@@ -195,6 +195,11 @@
     pub fn kill(&self) {
         self.server.kill();
     }
+
+    /// Stops taking calls and returns when those in flight have ended.
+    pub async fn drain(mut self) {
+        self.server.drain().await;
+    }
 }
 
 /// Counts a load in transit until it is dropped.
--- a/crates/amaranth-standin/src/vm_list_standin.rs
+++ b/crates/amaranth-standin/src/vm_list_standin.rs
@@ -148,6 +148,11 @@
     pub fn kill(&self) {
         self.server.kill();
     }
+
+    /// Stops taking calls and returns when those in flight have ended.
+    pub async fn drain(mut self) {
+        self.server.drain().await;
+    }
 }
 
 async fn list(State(state): State<Arc<VmListState>>) -> Response {
--- /dev/null
+++ b/crates/amaranth-standin/tests/path.rs
@@ -0,0 +1,81 @@
+//! The path that loses bytes.
+
+mod support;
+
+use std::time::Duration;
+
+use amaranth_ports::PortError;
+use amaranth_ports::engine::EnginePort;
+use amaranth_ports::http_engine::HttpEngine;
+use amaranth_standin::engine::answer_text::answer_text;
+use amaranth_standin::{EngineStandin, PathFaults, PathOptions, PathStandin, SwallowKind};
+use futures::StreamExt;
+use rstest::rstest;
+use support::{PROMPT, call, fast_engine, joined_text, read_all, spawn_engine};
+
+const BASE: &str = "tin-llm";
+const SILENCE: Duration = Duration::from_millis(200);
+
+async fn spawn_path() -> (EngineStandin, PathStandin, HttpEngine) {
+    let (engine, _) = spawn_engine(fast_engine()).await;
+    let path = PathStandin::spawn(PathOptions::to(engine.address()))
+        .await
+        .expect("path spawns");
+    let client = HttpEngine::open(path.address());
+    (engine, path, client)
+}
+
+#[rstest]
+#[case::both(SwallowKind::Both)]
+#[case::from_server(SwallowKind::FromServer)]
+#[tokio::test]
+async fn open_stream_goes_silent_and_resumes_on_a_new_connection(#[case] kind: SwallowKind) {
+    let (_engine, path, client) = spawn_path().await;
+    let call = call(1, BASE, 300);
+    let id = call.id;
+    let mut answer = client.complete(call).await.expect("accepted");
+    let mut events = vec![answer.events.next().await.expect("first")];
+    path.swallow_open(kind);
+    while let Ok(Some(event)) = tokio::time::timeout(SILENCE, answer.events.next()).await {
+        events.push(event);
+    }
+    assert!(
+        events.len() < 300,
+        "the stream ended before it was silenced"
+    );
+    assert!(events.iter().all(Result::is_ok));
+    let rest = client.resume(id, events.len() as u64).await;
+    events.extend(read_all(rest.expect("a new connection works")).await);
+    assert_eq!(joined_text(&events), answer_text(BASE, PROMPT, 300));
+}
+
+#[tokio::test]
+async fn one_silent_direction_leaves_the_other() {
+    let (engine, path, client) = spawn_path().await;
+    client.inventory().await.expect("connection opens");
+    path.swallow_open(SwallowKind::FromServer);
+    let order = support::load(&client, "manifest-reader@3", 1);
+    // The order arrives although its answer never does.
+    assert!(tokio::time::timeout(SILENCE, order).await.is_err());
+    assert_eq!(engine.counters().loads, 1);
+}
+
+#[tokio::test]
+async fn cut_connections_break_and_refused_ones_are_not_answered() {
+    let (_engine, path, client) = spawn_path().await;
+    let mut answer = client
+        .complete(call(1, BASE, 1_000_000))
+        .await
+        .expect("accepted");
+    answer.events.next().await.expect("first").expect("arrives");
+    path.cut_open();
+    let last = read_all(answer).await.pop().expect("an end");
+    assert!(matches!(last, Err(PortError::Uncertain(_))), "{last:?}");
+    path.set_faults(PathFaults {
+        refuses: true,
+        ..PathFaults::default()
+    });
+    assert!(client.inventory().await.is_err());
+    path.set_faults(PathFaults::default());
+    client.inventory().await.expect("new connections work");
+}
