Follow the log in the entry: configuration and claims

The entry tails the configuration stream and resolves by one revision a request. Non-idempotent calls go through the claim desk, a state machine without I/O: group commit with one append in flight, the first claim of a key by offset wins, one dispatch to one agent incarnation, all others settle at that agent or read the outcome. 20 tests with two entries, a log in memory and a fake agent pass, with the log out and with its answers lost.

--- a/crates/amaranth-control/src/claim_ledger.rs
+++ b/crates/amaranth-control/src/claim_ledger.rs
@@ -2,10 +2,11 @@
 //!
 //! All readers rule alike, because they apply the same records in the order of their offsets.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
-use amaranth_core::ids::{ClaimId, IdempotencyKey, LogOffset};
+use amaranth_core::ids::{ClaimId, IdempotencyKey, LogOffset, RequestId};
 use amaranth_core::request::ServiceAnswer;
+use smallvec::SmallVec;
 
 use crate::claim_record::{ClaimBatch, ClaimRecord, ClaimWish};
 
@@ -30,10 +31,32 @@
     },
 }
 
+/// What one record of a batch did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RecordRuling {
+    /// The key that the record is about.
+    pub key: IdempotencyKey,
+    /// The request of a claim, and whether it won the key; nothing for other records.
+    pub claim: Option<ClaimRuling>,
+}
+
+/// How a claim was ruled.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ClaimRuling {
+    /// The request that claimed.
+    pub request: RequestId,
+    /// The claim, if it won.
+    pub won: Option<ClaimId>,
+}
+
+/// The rulings of one batch in the order of its records.
+pub type BatchRulings = SmallVec<[RecordRuling; 4]>;
+
 /// Rules which claim holds each key.
 #[derive(Debug, Clone, Default)]
 pub struct ClaimLedger {
     keys: HashMap<IdempotencyKey, KeyStanding>,
+    holders: BTreeMap<ClaimId, IdempotencyKey>,
     next: LogOffset,
 }
 
@@ -53,29 +76,77 @@
         self.keys.get(key)
     }
 
-    /// Applies the batch at `offset`. A batch that was applied before is ignored.
-    pub fn apply(&mut self, offset: LogOffset, batch: ClaimBatch) {
+    /// Returns the number of keys that are held or done.
+    pub fn len(&self) -> usize {
+        self.keys.len()
+    }
+
+    /// Returns whether every key is free.
+    pub fn is_empty(&self) -> bool {
+        self.keys.is_empty()
+    }
+
+    /// Applies the batch at `offset` and returns what its records did.
+    ///
+    /// A batch that was applied before is ignored.
+    pub fn apply(&mut self, offset: LogOffset, batch: ClaimBatch) -> BatchRulings {
         if offset < self.next {
-            return;
+            return BatchRulings::new();
         }
         self.next = offset.next();
-        for (index, record) in batch.records.into_iter().enumerate() {
-            let index = u16::try_from(index).unwrap_or(u16::MAX);
-            self.apply_record(ClaimId { offset, index }, record);
+        batch
+            .records
+            .into_iter()
+            .enumerate()
+            .map(|(index, record)| {
+                let index = u16::try_from(index).unwrap_or(u16::MAX);
+                self.apply_record(ClaimId { offset, index }, record)
+            })
+            .collect()
+    }
+
+    /// Forgets the claims before `first_kept`, which the log no longer keeps.
+    ///
+    /// Every reader, whenever it started, then knows the same keys.
+    pub fn forget_before(&mut self, first_kept: LogOffset) {
+        self.next = self.next.max(first_kept);
+        while let Some(entry) = self.holders.first_entry()
+            && entry.key().offset < first_kept
+        {
+            let key = entry.remove();
+            self.keys.remove(&key);
         }
     }
 
-    fn apply_record(&mut self, id: ClaimId, record: ClaimRecord) {
-        match record {
+    fn apply_record(&mut self, id: ClaimId, record: ClaimRecord) -> RecordRuling {
+        let (key, claim) = match record {
             ClaimRecord::Claim(wish) => {
-                let key = wish.key.clone();
-                self.keys
-                    .entry(key)
-                    .or_insert(KeyStanding::Claimed { claim: id, wish });
+                let (key, request) = (wish.key.clone(), wish.request);
+                let won = self.claim(id, wish).then_some(id);
+                (key, Some(ClaimRuling { request, won }))
+            }
+            ClaimRecord::Done { key, claim, answer } => {
+                self.settle(&key, claim, answer);
+                (key, None)
             }
-            ClaimRecord::Done { key, claim, answer } => self.settle(&key, claim, answer),
-            ClaimRecord::Released { key, claim } => self.release(&key, claim),
+            ClaimRecord::Released { key, claim } => {
+                self.release(&key, claim);
+                (key, None)
+            }
+        };
+        RecordRuling { key, claim }
+    }
+
+    /// Returns whether the claim won its key.
+    fn claim(&mut self, id: ClaimId, wish: ClaimWish) -> bool {
+        if self.keys.contains_key(&wish.key) {
+            return false;
         }
+        self.holders.insert(id, wish.key.clone());
+        let key = wish.key.clone();
+        self.keys
+            .insert(key, KeyStanding::Claimed { claim: id, wish });
+        true
     }
 
     /// The first outcome of the holding claim stands.
@@ -102,6 +173,7 @@
         );
         if holds {
             self.keys.remove(key);
+            self.holders.remove(&released);
         }
     }
 }
--- a/crates/amaranth-control/src/lib.rs
+++ b/crates/amaranth-control/src/lib.rs
@@ -5,5 +5,10 @@
 
 pub mod answer_buffer;
 pub mod answer_cursor;
+pub mod claim_call;
+pub mod claim_desk;
 pub mod claim_ledger;
+pub mod claim_outbox;
 pub mod claim_record;
+pub mod claim_watch;
+pub mod key_window;
--- a/crates/amaranth-entry/src/control_thread.rs
+++ b/crates/amaranth-entry/src/control_thread.rs
@@ -4,8 +4,13 @@
 use std::time::Duration;
 
 use amaranth_core::membership::AgentAnnouncement;
+use amaranth_ports::log::LogPort;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
+use crate::claim_client::ClaimTaskEvent;
+use crate::claim_task::ClaimTask;
+use crate::config_tail;
 use crate::directory::DirectoryOwner;
 use crate::entry_state::EntryState;
 
@@ -22,8 +27,45 @@
     Announced(AgentAnnouncement),
 }
 
-/// Runs control until every sender of events is gone.
-pub async fn run(
+/// What the control thread owns.
+pub struct ControlParts {
+    /// What it shares with traffic.
+    pub state: Arc<EntryState>,
+    /// The agents.
+    pub directory: DirectoryOwner,
+    /// What it is told.
+    pub events: mpsc::Receiver<ControlEvent>,
+    /// The claim desk.
+    pub claims: ClaimTask,
+    /// What the claim desk is told.
+    pub claim_events: mpsc::Receiver<ClaimTaskEvent>,
+    /// The platform's log.
+    pub log: Arc<dyn LogPort>,
+    /// Cancelled when the process ends.
+    pub ended: CancellationToken,
+}
+
+/// Runs control until the process ends.
+pub async fn run(parts: ControlParts) {
+    let ControlParts {
+        state,
+        directory,
+        events,
+        claims,
+        claim_events,
+        log,
+        ended,
+    } = parts;
+    let configuration = config_tail::run(Arc::clone(&state), log);
+    tokio::select! {
+        () = keep_directory(state, directory, events) => {}
+        () = configuration => {}
+        () = claims.run(claim_events) => {}
+        () = ended.cancelled() => {}
+    }
+}
+
+async fn keep_directory(
     state: Arc<EntryState>,
     mut directory: DirectoryOwner,
     mut events: mpsc::Receiver<ControlEvent>,
--- a/crates/amaranth-entry/src/entry_state.rs
+++ b/crates/amaranth-entry/src/entry_state.rs
@@ -6,13 +6,14 @@
 use amaranth_core::errors::{Error, ErrorKind, Result};
 use amaranth_core::membership::ProcessIdentity;
 use amaranth_core::time::MonotonicClock;
-use amaranth_telemetry::admin::ReadyFlag;
 use tokio::runtime::Handle;
 use tokio::sync::Notify;
 
+use crate::claim_client::ClaimClient;
+use crate::config_tail::CurrentCatalogue;
 use crate::decision_log::DecisionLog;
 use crate::directory::CurrentDirectory;
-use crate::request_catalogue::CurrentCatalogue;
+use crate::readiness::EntryReadiness;
 use crate::settings::EntrySettings;
 
 /// Shared by the HTTP routes, the tarpc service and the control thread.
@@ -27,10 +28,12 @@
     pub directory: CurrentDirectory,
     /// The configuration.
     pub catalogue: CurrentCatalogue,
+    /// The way to the claim desk.
+    pub claims: ClaimClient,
     /// Recent decisions.
     pub decisions: DecisionLog,
-    /// Whether callers may come.
-    pub ready: ReadyFlag,
+    /// What this entry has caught up with.
+    pub readiness: EntryReadiness,
     /// Where tasks that outlive a request run.
     pub traffic: Handle,
     /// Who is inside.
--- a/crates/amaranth-entry/src/http/completions.rs
+++ b/crates/amaranth-entry/src/http/completions.rs
@@ -2,8 +2,11 @@
 
 use std::sync::Arc;
 
+use amaranth_config::catalogue::ResolvedModel;
 use amaranth_core::errors::{Result, RunState, invalid_request};
+use amaranth_core::ids::{EndpointId, RequestId};
 use amaranth_core::request::{CompletionApi, CompletionRequest};
+use amaranth_core::trace::TraceContext;
 use amaranth_core::units::TokenCount;
 use amaranth_placement::router::RouteQuery;
 use amaranth_telemetry::spans::HopSpan;
@@ -47,7 +50,7 @@
 async fn serve(state: Arc<EntryState>, api: CompletionApi, request: Request) -> Response<Body> {
     let mut labels = AnswerLabels {
         request: new_request_id(),
-        revision: state.catalogue.load().revision,
+        revision: state.catalogue.load().revision(),
     };
     let answered = answer(&state, api, request, &mut labels).await;
     answered.unwrap_or_else(|error| {
@@ -86,18 +89,32 @@
     request: Request,
     labels: &mut AnswerLabels,
 ) -> Result<Response<Body>> {
-    let admitted = state.gate.enter(state.settings.limits.max_in_flight)?;
+    let admitted = state.gate.enter(state.settings.max_in_flight)?;
+    state.readiness.check_configuration()?;
+    // One revision of the configuration rules the whole request.
+    let catalogue = state.catalogue.load_full();
+    labels.revision = catalogue.revision();
     let (parts, body) = request.into_parts();
-    let head = RequestHead::read(&parts.headers, &state.settings.limits)?;
+    let head = RequestHead::read(&parts.headers, catalogue.limits())?;
     let mut span = HopSpan::start("entry", head.trace);
     span.set("request", labels.request);
-    let body = read_body(&parts.headers, body, &state.settings.limits).await?;
+    let body = read_body(&parts.headers, body, catalogue.limits()).await?;
     let parsed = ParsedBody::parse(api, body)?;
-    let (request, reader) = open_reader(state, api, &head, &parsed, &span, labels)?;
-    span.set("model", &request.target);
+    let resolved = catalogue.resolve_model(&parsed.model, &head.caller)?;
+    span.set("model", &resolved.target);
+    let accepted = AcceptedCompletion {
+        id: labels.request,
+        api,
+        head,
+        parsed,
+        resolved,
+        trace: span.context(),
+    };
+    let streamed = accepted.parsed.streamed;
+    let reader = accepted.open_reader(state)?;
     let mut opened = OpenedAnswer::new(reader, admitted);
     opened._span = Some(span);
-    if parsed.streamed {
+    if streamed {
         stream_answer(opened, *labels, RunState::Run).await
     } else {
         whole_answer(opened, api, *labels).await
@@ -192,45 +209,55 @@
         .expect("a JSON value has string keys only")
 }
 
-fn open_reader(
-    state: &Arc<EntryState>,
+/// A completion that was checked and resolved.
+struct AcceptedCompletion {
+    id: RequestId,
     api: CompletionApi,
-    head: &RequestHead,
-    parsed: &ParsedBody,
-    span: &HopSpan,
-    labels: &mut AnswerLabels,
-) -> Result<(CompletionRequest, AnswerReader)> {
-    let revised = state.catalogue.load_full();
-    labels.revision = revised.revision;
-    let target = revised
-        .catalogue
-        .resolve_model(&parsed.model, &head.caller)?;
-    let query = RouteQuery {
-        target: target.clone(),
-        excluded: SmallVec::new(),
-    };
-    let directory = state.directory.load_full();
-    let (handle, reason) = directory.route(state.clock.now(), &query)?;
-    state.decisions.note(format!(
-        "event=request_routed request={} model={target} revision={} endpoint={} reason={reason}",
-        labels.request, revised.revision, handle.endpoint
-    ));
-    let request = CompletionRequest {
-        id: labels.request,
-        endpoint: handle.endpoint.clone(),
-        target,
-        revision: revised.revision,
-        api,
-        body: parsed.body.clone(),
-        caller: head.caller.clone(),
-        priority: head.priority,
-        time_left: head.time_left(),
-        prompt_tokens: parsed.prompt_tokens,
-        max_tokens: parsed.max_tokens,
-        trace: span.context(),
-    };
-    let reader = AnswerReader::open(Arc::clone(state), request.clone(), &handle, head.deadline);
-    Ok((request, reader))
+    head: RequestHead,
+    parsed: ParsedBody,
+    resolved: ResolvedModel,
+    trace: TraceContext,
+}
+
+impl AcceptedCompletion {
+    /// Chooses an endpoint and begins to read the answer from there.
+    fn open_reader(self, state: &Arc<EntryState>) -> Result<AnswerReader> {
+        let query = RouteQuery {
+            target: self.resolved.target.clone(),
+            excluded: SmallVec::new(),
+        };
+        let directory = state.directory.load();
+        let (handle, reason) = directory.route(state.clock.now(), &query)?;
+        state.decisions.note(format!(
+            "event=request_routed request={} model={} revision={} endpoint={} reason={reason}",
+            self.id, self.resolved.target, self.resolved.revision, handle.endpoint
+        ));
+        let deadline = self.head.deadline;
+        let request = self.into_request(handle.endpoint.clone());
+        Ok(AnswerReader::open(
+            Arc::clone(state),
+            request,
+            &handle,
+            deadline,
+        ))
+    }
+
+    fn into_request(self, endpoint: EndpointId) -> CompletionRequest {
+        CompletionRequest {
+            id: self.id,
+            endpoint,
+            target: self.resolved.target,
+            revision: self.resolved.revision,
+            api: self.api,
+            body: self.parsed.body,
+            priority: self.head.priority.unwrap_or(self.resolved.priority),
+            time_left: self.head.time_left(),
+            caller: self.head.caller,
+            prompt_tokens: self.parsed.prompt_tokens,
+            max_tokens: self.parsed.max_tokens,
+            trace: self.trace,
+        }
+    }
 }
 
 /// Streams an answer as server-sent events. The first chunk is awaited, so that an answer that
--- a/crates/amaranth-entry/src/http/mod.rs
+++ b/crates/amaranth-entry/src/http/mod.rs
@@ -17,16 +17,12 @@
 
 /// Returns the routes of the interface.
 pub fn routes(state: Arc<EntryState>) -> Router {
-    let services = format!("{}/{{service}}", state.settings.services_path);
-    let below = format!("{services}/{{*path}}");
     Router::new()
         .route("/v1/completions", post(completions::complete))
         .route("/v1/chat/completions", post(completions::complete_chat))
         .route("/v1/models", get(models::list))
         .route("/v1/models/{*model}", get(models::show))
         .route("/v1/requests/{id}", get(requests::fetch))
-        .route(&services, axum::routing::any(services::call))
-        .route(&below, axum::routing::any(services::call))
-        .fallback(models::unknown_path)
+        .fallback(services::call)
         .with_state(state)
 }
--- a/crates/amaranth-entry/src/http/models.rs
+++ b/crates/amaranth-entry/src/http/models.rs
@@ -1,12 +1,14 @@
 //! The list of models that callers may name.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use amaranth_core::errors::{Error, not_found};
+use amaranth_config::catalogue::Catalogue;
+use amaranth_core::errors::Error;
 use amaranth_core::ids::CallerId;
 use axum::Json;
 use axum::body::Body;
-use axum::extract::{OriginalUri, Path, State};
+use axum::extract::{Path, State};
 use axum::http::Response;
 use axum::response::IntoResponse;
 use serde::Serialize;
@@ -42,46 +44,40 @@
 
 /// Answers `GET /v1/models`.
 pub async fn list(State(state): State<Arc<EntryState>>) -> Response<Body> {
-    let models = state.catalogue.load().catalogue.models();
     let list = ModelList {
         object: "list",
-        data: models.into_iter().map(ModelObject::new).collect(),
+        data: model_names(&state.catalogue.load())
+            .into_iter()
+            .map(ModelObject::new)
+            .collect(),
     };
     Json(list).into_response()
 }
 
+/// Returns the base models, adapters and models of rules, sorted.
+fn model_names(catalogue: &Catalogue) -> BTreeSet<String> {
+    let bases = catalogue.models().map(|model| model.name.to_string());
+    let adapters = catalogue.adapters().map(|adapter| adapter.name.to_string());
+    let ruled = catalogue.rules().map(|rule| rule.model.to_string());
+    bases.chain(adapters).chain(ruled).collect()
+}
+
 /// Answers `GET /v1/models/{model}`.
 pub async fn show(
     State(state): State<Arc<EntryState>>,
     Path(model): Path<String>,
 ) -> Response<Body> {
     let anyone: CallerId = "anonymous".parse().expect("the word is a name");
-    match state
-        .catalogue
-        .load()
-        .catalogue
-        .resolve_model(&model, &anyone)
-    {
+    match state.catalogue.load().resolve_model(&model, &anyone) {
         Ok(_) => Json(ModelObject::new(model)).into_response(),
         Err(error) => refuse(&state, error),
     }
 }
 
-/// Answers a path that does not exist.
-pub async fn unknown_path(
-    State(state): State<Arc<EntryState>>,
-    OriginalUri(uri): OriginalUri,
-) -> Response<Body> {
-    refuse(
-        &state,
-        not_found(format!("path {:?} does not exist", uri.path())),
-    )
-}
-
 fn refuse(state: &EntryState, error: Error) -> Response<Body> {
     let labels = AnswerLabels {
         request: new_request_id(),
-        revision: state.catalogue.load().revision,
+        revision: state.catalogue.load().revision(),
     };
     ApiError { labels, error }.into_response()
 }
--- a/crates/amaranth-entry/src/http/request_head.rs
+++ b/crates/amaranth-entry/src/http/request_head.rs
@@ -3,6 +3,7 @@
 use std::str::FromStr;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use amaranth_config::entries::LimitsEntry;
 use amaranth_core::errors::{Error, ErrorKind, Result, invalid_request};
 use amaranth_core::ids::{CallerId, IdempotencyKey, RequestId};
 use amaranth_core::request::RequestPriority;
@@ -13,8 +14,6 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 
-use crate::settings::RequestLimits;
-
 /// Names the caller.
 const CALLER: HeaderName = HeaderName::from_static("x-amaranth-caller");
 
@@ -38,8 +37,8 @@
 pub struct RequestHead {
     /// Who asks.
     pub caller: CallerId,
-    /// How urgent it is.
-    pub priority: RequestPriority,
+    /// How urgent it is, if the caller says so.
+    pub priority: Option<RequestPriority>,
     /// When the caller gives up.
     pub deadline: Instant,
     /// The key, if there is one.
@@ -54,7 +53,7 @@
     /// # Errors
     ///
     /// `InvalidRequest` names the header that is malformed.
-    pub fn read(headers: &HeaderMap, limits: &RequestLimits) -> Result<Self> {
+    pub fn read(headers: &HeaderMap, limits: &LimitsEntry) -> Result<Self> {
         let caller = match parse_header::<CallerId>(headers, &CALLER)? {
             Some(caller) => caller,
             None => ANONYMOUS.parse()?,
@@ -68,7 +67,7 @@
             .unwrap_or_else(new_trace);
         Ok(Self {
             caller,
-            priority: parse_header(headers, &PRIORITY)?.unwrap_or_default(),
+            priority: parse_header(headers, &PRIORITY)?,
             deadline: Instant::now() + time_left,
             key: parse_header(headers, &IDEMPOTENCY_KEY)?,
             trace,
@@ -102,7 +101,7 @@
 /// # Errors
 ///
 /// `BodyTooLarge` beyond the limit, `Cancelled` if the caller left meanwhile.
-pub async fn read_body(headers: &HeaderMap, body: Body, limits: &RequestLimits) -> Result<Bytes> {
+pub async fn read_body(headers: &HeaderMap, body: Body, limits: &LimitsEntry) -> Result<Bytes> {
     let limit = limits.max_body.as_usize();
     let too_large = || {
         Error::new(
--- a/crates/amaranth-entry/src/http/requests.rs
+++ b/crates/amaranth-entry/src/http/requests.rs
@@ -37,7 +37,7 @@
 ) -> Response<Body> {
     let mut labels = AnswerLabels {
         request: new_request_id(),
-        revision: state.catalogue.load().revision,
+        revision: state.catalogue.load().revision(),
     };
     let answered = attach(&state, &id, query, &mut labels).await;
     answered.unwrap_or_else(|error| ApiError { labels, error }.into_response())
@@ -51,12 +51,12 @@
 ) -> Result<Response<Body>> {
     let id: RequestId = id.parse()?;
     labels.request = id;
-    let admitted = state.gate.enter(state.settings.limits.max_in_flight)?;
+    let admitted = state.gate.enter(state.settings.max_in_flight)?;
     let from = Sequence(query.from);
     let link = find_agent(state, id, from)
         .await
         .ok_or_else(|| not_found(format!("no agent holds an answer to request {id}")))?;
-    let deadline = Instant::now() + state.settings.limits.default_deadline;
+    let deadline = Instant::now() + state.catalogue.load().limits().default_deadline;
     let reader = AnswerReader::attach(Arc::clone(state), id, link, from, deadline);
     let opened = OpenedAnswer::new(reader, admitted);
     stream_answer(opened, *labels, RunState::Run).await
--- a/crates/amaranth-entry/src/http/services.rs
+++ b/crates/amaranth-entry/src/http/services.rs
@@ -1,13 +1,19 @@
 //! Calls of plain services.
 
 use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
 
-use amaranth_core::errors::{Error, ErrorKind, Result, RunState};
+use amaranth_config::entries::LimitsEntry;
+use amaranth_control::claim_call::ClaimCall;
+use amaranth_control::key_window::KeyWindow;
+use amaranth_core::digest::body_digest;
+use amaranth_core::errors::{Error, ErrorKind, Result, RunState, not_found};
 use amaranth_core::ids::EndpointId;
 use amaranth_core::request::{ServiceAnswer, ServiceRequest};
 use amaranth_telemetry::spans::HopSpan;
 use axum::body::Body;
 use axum::extract::{Request, State};
+use axum::http::uri::PathAndQuery;
 use axum::http::{HeaderMap, HeaderValue, Response, StatusCode, header};
 use axum::response::IntoResponse;
 use smallvec::SmallVec;
@@ -16,7 +22,6 @@
 use super::request_head::{RequestHead, new_request_id, read_body};
 use crate::agent_link::LinkError;
 use crate::entry_state::EntryState;
-use crate::request_catalogue::ServiceRule;
 
 /// Endpoints that are tried for one repeatable call.
 const MAX_ENDPOINTS: usize = 3;
@@ -25,7 +30,7 @@
 pub async fn call(State(state): State<Arc<EntryState>>, request: Request) -> Response<Body> {
     let mut labels = AnswerLabels {
         request: new_request_id(),
-        revision: state.catalogue.load().revision,
+        revision: state.catalogue.load().revision(),
     };
     match answer(&state, request, &mut labels).await {
         Ok(answer) => service_response(answer, labels),
@@ -45,44 +50,37 @@
     request: Request,
     labels: &mut AnswerLabels,
 ) -> Result<ServiceAnswer> {
-    let _admitted = state.gate.enter(state.settings.limits.max_in_flight)?;
+    let _admitted = state.gate.enter(state.settings.max_in_flight)?;
+    state.readiness.check_configuration()?;
+    let catalogue = state.catalogue.load_full();
+    labels.revision = catalogue.revision();
     let (parts, body) = request.into_parts();
-    let head = RequestHead::read(&parts.headers, &state.settings.limits)?;
+    let head = RequestHead::read(&parts.headers, catalogue.limits())?;
     let mut span = HopSpan::start("entry", head.trace);
     span.set("request", labels.request);
-    let revised = state.catalogue.load_full();
-    labels.revision = revised.revision;
-    let below = parts
-        .uri
-        .path_and_query()
-        .map_or("/", |path| path.as_str())
-        .trim_start_matches(&state.settings.services_path)
-        .trim_start_matches('/');
-    let name_end = below.find(['/', '?']).unwrap_or(below.len());
-    let (name, path) = below.split_at(name_end);
-    let rule = revised
-        .catalogue
-        .service_rule(name, parts.method.as_str(), path)?;
-    let body = read_body(&parts.headers, body, &state.settings.limits).await?;
+    let full_path = parts.uri.path_and_query().map_or("/", PathAndQuery::as_str);
+    let resolved = catalogue
+        .service_for_path(full_path)
+        .ok_or_else(|| not_found(format!("path {:?} does not exist", parts.uri.path())))?;
+    let method = parts.method.as_str();
+    let repeatable = resolved.is_repeatable(method);
+    let body = read_body(&parts.headers, body, catalogue.limits()).await?;
     let call = ServiceRequest {
         id: labels.request,
-        service: rule.service.clone(),
+        service: resolved.service.name.clone(),
         endpoint: unrouted_endpoint()?,
-        method: parts.method.to_string(),
-        path: path.to_owned(),
+        method: method.to_owned(),
+        path: resolved.path.into_owned(),
         content_type: content_type(&parts.headers),
         body,
         claim: None,
         time_left: head.time_left(),
         trace: span.context(),
     };
-    if rule.repeatable {
-        return call_repeatable(state, &rule, &head, call).await;
+    if repeatable {
+        return call_repeatable(state, &head, call).await;
     }
-    Err(Error::new(
-        ErrorKind::LogUnavailable,
-        "the entry has no claims of non-idempotent calls yet",
-    ))
+    call_claimed(state, catalogue.limits(), &head, call).await
 }
 
 fn unrouted_endpoint() -> Result<EndpointId> {
@@ -92,7 +90,6 @@
 /// Calls one instance after the other until one answers.
 async fn call_repeatable(
     state: &Arc<EntryState>,
-    rule: &ServiceRule,
     head: &RequestHead,
     mut call: ServiceRequest,
 ) -> Result<ServiceAnswer> {
@@ -101,7 +98,7 @@
         let handle = state
             .directory
             .load()
-            .route_service(&rule.service, &tried)?;
+            .route_service(&call.service, &tried)?;
         let _in_flight = handle.enter();
         call.endpoint = handle.endpoint.clone();
         call.time_left = head.time_left();
@@ -126,6 +123,48 @@
     }
 }
 
+/// Runs a call at most once. A call without a key of its caller's gets one of its own.
+async fn call_claimed(
+    state: &Arc<EntryState>,
+    limits: &LimitsEntry,
+    head: &RequestHead,
+    call: ServiceRequest,
+) -> Result<ServiceAnswer> {
+    let key = match &head.key {
+        Some(key) => key.clone(),
+        None => call.id.to_string().parse()?,
+    };
+    let window = KeyWindow {
+        window: limits.key_window,
+        require_dated: state.settings.claims.require_dated_keys,
+    };
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    window.check(&key, since_epoch.unwrap_or_default())?;
+    let claim_call = ClaimCall {
+        request: call.id,
+        key,
+        body_digest: call_digest(&call),
+        deadline: state.clock.now() + head.time_left(),
+    };
+    state.claims.call(claim_call, call).await
+}
+
+/// Returns the digest of what a call asks for. Each part is preceded by its length.
+fn call_digest(call: &ServiceRequest) -> u128 {
+    let mut text = Vec::with_capacity(call.body.len() + call.path.len() + 64);
+    let service = call.service.as_str().as_bytes();
+    for part in [
+        service,
+        call.method.as_bytes(),
+        call.path.as_bytes(),
+        &call.body,
+    ] {
+        text.extend_from_slice(&part.len().to_le_bytes());
+        text.extend_from_slice(part);
+    }
+    body_digest(&text)
+}
+
 fn content_type(headers: &HeaderMap) -> Option<String> {
     let value = headers.get(header::CONTENT_TYPE)?;
     value.to_str().ok().map(str::to_owned)
--- a/crates/amaranth-entry/src/lib.rs
+++ b/crates/amaranth-entry/src/lib.rs
@@ -6,6 +6,12 @@
 
 pub mod agent_link;
 pub mod answer_reader;
+pub mod claim_client;
+pub mod claim_codec;
+pub mod claim_dispatch;
+pub mod claim_tail;
+pub mod claim_task;
+pub mod config_tail;
 pub mod control_thread;
 pub mod decision_log;
 pub mod directory;
@@ -13,7 +19,7 @@
 pub mod http;
 pub mod peer_service;
 pub mod process;
-pub mod request_catalogue;
+pub mod readiness;
 pub mod settings;
 
 pub use process::{EntryPorts, EntryProcess};
--- a/crates/amaranth-entry/src/main.rs
+++ b/crates/amaranth-entry/src/main.rs
@@ -5,8 +5,7 @@
 use amaranth_entry::{EntryPorts, EntryProcess, EntrySettings};
 use amaranth_telemetry::arguments::{ProgramArguments, ProgramInfo};
 use amaranth_telemetry::shutdown::ShutdownSignal;
-use amaranth_telemetry::{logs, metrics, settings, usage_exit};
-use log::LevelFilter;
+use amaranth_telemetry::{logs, metrics, settings, spans, usage_exit};
 use miette::{IntoDiagnostic, Report};
 
 const INFO: ProgramInfo = ProgramInfo {
@@ -52,13 +51,11 @@
 
 #[tokio::main(flavor = "current_thread")]
 async fn run(settings: EntrySettings) -> miette::Result<()> {
-    logs::open(LevelFilter::Info).into_diagnostic()?;
+    logs::open(settings.log_level).into_diagnostic()?;
+    let export = spans::open(INFO.name, settings.collector.as_deref()).into_diagnostic()?;
     let metrics = metrics::open().into_diagnostic()?;
     let mut signal = ShutdownSignal::listen().into_diagnostic()?;
-    let ports = EntryPorts {
-        metrics,
-        ..EntryPorts::default()
-    };
+    let ports = EntryPorts::open(&settings, metrics);
     let mut process = EntryProcess::spawn_with(settings, ports)
         .await
         .into_diagnostic()?;
@@ -68,5 +65,6 @@
     };
     log::info!("event=stop_requested cause={cause}");
     process.drain().await;
+    export.close();
     Ok(())
 }
--- a/crates/amaranth-entry/src/peer_service.rs
+++ b/crates/amaranth-entry/src/peer_service.rs
@@ -74,7 +74,7 @@
         _context: Context,
         announcement: AgentAnnouncement,
     ) -> Result<AnnouncementReply> {
-        let revision = self.state.catalogue.load().revision;
+        let revision = self.state.catalogue.load().revision();
         // A full queue drops the announcement: the next one replaces it anyway.
         let taken = self.control.try_send(ControlEvent::Announced(announcement));
         Ok(AnnouncementReply {
@@ -119,8 +119,8 @@
     async fn status(self, _context: Context) -> EntryStatus {
         EntryStatus {
             identity: self.state.identity.clone(),
-            revision: self.state.catalogue.load().revision,
-            ready: self.state.ready.get(),
+            revision: self.state.catalogue.load().revision(),
+            ready: self.state.readiness.is_ready(),
             leaving: self.state.gate.is_leaving(),
             in_flight: self.state.gate.in_flight(),
             agents: self.state.directory.load().announcements().to_vec(),
@@ -130,7 +130,7 @@
 
     async fn drain(self, _context: Context) -> Result<()> {
         self.state.gate.leave();
-        self.state.ready.set(false);
+        self.state.readiness.leave();
         self.drain.send_replace(true);
         Ok(())
     }
--- a/crates/amaranth-entry/src/process.rs
+++ b/crates/amaranth-entry/src/process.rs
@@ -10,8 +10,9 @@
 use amaranth_core::ids::{ConfigRevision, Incarnation};
 use amaranth_core::membership::ProcessIdentity;
 use amaranth_core::time::MonotonicClock;
+use amaranth_ports::http_log::HttpLog;
 use amaranth_ports::log::LogPort;
-use amaranth_telemetry::admin::{self, AdminHandle, ReadyFlag};
+use amaranth_telemetry::admin::{self, AdminHandle};
 use amaranth_telemetry::metrics::{self, MetricsHandle};
 use amaranth_wire::entry::EntryRpc;
 use amaranth_wire::transport::{self, ServerHandle};
@@ -23,13 +24,15 @@
 use tokio::sync::{mpsc, watch};
 use tokio_util::sync::CancellationToken;
 
-use crate::control_thread::{self, CONTROL_QUEUE, ControlEvent};
+use crate::claim_client::{CLAIM_QUEUE, ClaimClient};
+use crate::claim_task::ClaimTask;
+use crate::control_thread::{self, CONTROL_QUEUE, ControlParts};
 use crate::decision_log::DecisionLog;
 use crate::directory::DirectoryOwner;
 use crate::entry_state::{AdmissionGate, EntryState};
 use crate::http;
 use crate::peer_service::PeerService;
-use crate::request_catalogue::{CurrentCatalogue, open_empty};
+use crate::readiness::EntryReadiness;
 use crate::settings::EntrySettings;
 
 /// Time that answers get to leave after the last request ended.
@@ -39,19 +42,17 @@
 #[derive(Clone)]
 pub struct EntryPorts {
     /// The platform's log.
-    pub log: Option<Arc<dyn LogPort>>,
-    /// The configuration in force.
-    pub catalogue: CurrentCatalogue,
+    pub log: Arc<dyn LogPort>,
     /// Where `/metrics` reads from.
     pub metrics: MetricsHandle,
 }
 
-impl Default for EntryPorts {
-    fn default() -> Self {
+impl EntryPorts {
+    /// Opens the HTTP clients of what `settings` name.
+    pub fn open(settings: &EntrySettings, metrics: MetricsHandle) -> Self {
         Self {
-            log: None,
-            catalogue: open_empty(),
-            metrics: metrics::detached(),
+            log: Arc::new(HttpLog::open(settings.log_address)),
+            metrics,
         }
     }
 }
@@ -66,6 +67,7 @@
     peers: ServerHandle,
     admin: AdminHandle,
     drain: watch::Receiver<bool>,
+    ended: CancellationToken,
 }
 
 impl EntryProcess {
@@ -75,7 +77,8 @@
     ///
     /// Returns an error when an address can't be bound.
     pub async fn spawn(settings: EntrySettings) -> Result<Self> {
-        Self::spawn_with(settings, EntryPorts::default()).await
+        let ports = EntryPorts::open(&settings, metrics::detached());
+        Self::spawn_with(settings, ports).await
     }
 
     /// Starts an entry that reaches the outside through `ports`.
@@ -117,7 +120,7 @@
 
     /// Returns whether the entry has caught up and takes requests.
     pub fn is_ready(&self) -> bool {
-        self.state.ready.get()
+        self.state.readiness.is_ready()
     }
 
     /// Returns the life of this process.
@@ -127,7 +130,7 @@
 
     /// Returns the configuration revision in force.
     pub fn revision(&self) -> ConfigRevision {
-        self.state.catalogue.load().revision
+        self.state.catalogue.load().revision()
     }
 
     /// Returns the number of endpoints that agents have announced.
@@ -145,7 +148,7 @@
 
     /// Stops admission, finishes what is in flight and ends.
     pub async fn drain(mut self) {
-        self.state.ready.set(false);
+        self.state.readiness.leave();
         self.state.gate.leave();
         log::info!(
             "event=drain_started process={} in_flight={}",
@@ -158,6 +161,10 @@
         if tokio::time::timeout(CLOSING_TIME, closed).await.is_err() {
             log::warn!("event=connections_left_open");
         }
+        let settled = self.state.claims.settled();
+        if tokio::time::timeout(CLOSING_TIME, settled).await.is_err() {
+            log::warn!("event=outcomes_left_unrecorded");
+        }
         log::info!("event=drain_ended process={}", self.state.identity.process);
     }
 
@@ -169,6 +176,7 @@
 
 impl Drop for EntryProcess {
     fn drop(&mut self) {
+        self.ended.cancel();
         if let Some(traffic) = self.traffic.take() {
             traffic.shutdown_background();
         }
@@ -199,6 +207,7 @@
     peers: ServerHandle,
     admin: AdminHandle,
     drain: watch::Receiver<bool>,
+    ended: CancellationToken,
 }
 
 impl StartedParts {
@@ -212,6 +221,7 @@
             peers: self.peers,
             admin: self.admin,
             drain: self.drain,
+            ended: self.ended,
         }
     }
 }
@@ -224,8 +234,8 @@
     let bound = |address: SocketAddr| {
         move |error: io::Error| start_failed(io::Error::other(format!("{address}: {error}")))
     };
-    let ready = ReadyFlag::default();
-    let admin = admin::bind(settings.admin_address, ports.metrics, ready.clone())
+    let readiness = EntryReadiness::default();
+    let admin = admin::bind(settings.admin_address, ports.metrics, readiness.flag())
         .await
         .map_err(bound(settings.admin_address))?;
     let listener = TcpListener::bind(settings.http_address)
@@ -233,6 +243,8 @@
         .map_err(bound(settings.http_address))?;
     let http_address = listener.local_addr().map_err(start_failed)?;
     let directory = DirectoryOwner::open(settings.peers);
+    let (claim_sender, claim_events) = mpsc::channel(CLAIM_QUEUE);
+    let (settled_sender, settled) = watch::channel(true);
     let (control, events) = mpsc::channel(CONTROL_QUEUE);
     let (drain_asked, drain) = watch::channel(false);
     let identity = ProcessIdentity {
@@ -246,19 +258,34 @@
         identity,
         clock: MonotonicClock::start(),
         directory: directory.published(),
-        catalogue: ports.catalogue,
+        catalogue: Arc::default(),
+        claims: ClaimClient::open(claim_sender.clone(), settled),
         decisions: DecisionLog::default(),
-        ready,
+        readiness,
         traffic,
         gate: Arc::new(AdmissionGate::default()),
         settings,
     });
     let service = PeerService::open(Arc::clone(&state), control, drain_asked);
     let peers = bind_peers(&state, service).await?;
-    run_control(Arc::clone(&state), directory, events).map_err(start_failed)?;
+    let ended = CancellationToken::new();
+    let control = ControlParts {
+        state: Arc::clone(&state),
+        directory,
+        events,
+        claims: ClaimTask::open(
+            Arc::clone(&state),
+            Arc::clone(&ports.log),
+            claim_sender,
+            settled_sender,
+        ),
+        claim_events,
+        log: ports.log,
+        ended: ended.clone(),
+    };
+    run_control(control).map_err(start_failed)?;
     let http_closing = CancellationToken::new();
     let http_closed = serve_callers(&state, listener, http_closing.clone());
-    state.ready.set(true);
     log::info!(
         "event=entry_started process={} incarnation={} http={http_address} peers={} admin={}",
         state.identity.process,
@@ -274,6 +301,7 @@
         peers,
         admin,
         drain,
+        ended,
     })
 }
 
@@ -291,18 +319,14 @@
         .map_err(|error| start_failed(io::Error::other(format!("{address}: {error}"))))
 }
 
-/// Starts the thread that owns control state. It ends when the tarpc service is gone.
-fn run_control(
-    state: Arc<EntryState>,
-    directory: DirectoryOwner,
-    events: mpsc::Receiver<ControlEvent>,
-) -> io::Result<()> {
+/// Starts the thread that owns control state. It ends with the process.
+fn run_control(parts: ControlParts) -> io::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
     thread::Builder::new()
         .name("entry-control".to_owned())
-        .spawn(move || runtime.block_on(control_thread::run(state, directory, events)))?;
+        .spawn(move || runtime.block_on(control_thread::run(parts)))?;
     Ok(())
 }
 
--- a/crates/amaranth-entry/src/settings.rs
+++ b/crates/amaranth-entry/src/settings.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use amaranth_core::ids::{DataCentreName, ProcessId, RegionName};
-use amaranth_core::units::ByteSize;
 use amaranth_telemetry::settings::{CheckedSettings, SettingFault};
+use log::LevelFilter;
 use serde::{Deserialize, Serialize};
+use serde_with::{DisplayFromStr, serde_as};
 
 /// Everything an entry is told when it starts.
+#[serde_as]
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
@@ -32,15 +34,19 @@
     /// The other entries, by the addresses of their tarpc services.
     #[serde(default)]
     pub entries: Vec<SocketAddr>,
-    /// The path below which plain services are called.
-    #[serde(default = "default_services_path")]
-    pub services_path: String,
     /// Threads that serve callers; zero stands for one a core.
     #[serde(default)]
     pub traffic_threads: usize,
-    /// Limits on requests.
+    /// Requests in flight at once; more are refused.
+    #[serde(default = "default_max_in_flight")]
+    pub max_in_flight: u32,
+    /// The least important events that are logged.
+    #[serde(default = "default_log_level")]
+    #[serde_as(as = "DisplayFromStr")]
+    pub log_level: LevelFilter,
+    /// The OTLP collector of the spans. Without one, spans are logged.
     #[serde(default)]
-    pub limits: RequestLimits,
+    pub collector: Option<String>,
     /// Times of the exchange with agents and other entries.
     #[serde(default)]
     pub peers: PeerTimes,
@@ -49,33 +55,6 @@
     pub claims: ClaimSettings,
 }
 
-/// Limits on requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct RequestLimits {
-    /// The largest request body.
-    pub max_body: ByteSize,
-    /// Requests in flight at once; more are refused.
-    pub max_in_flight: u32,
-    /// The deadline of a request that states none.
-    #[serde(with = "humantime_serde")]
-    pub default_deadline: Duration,
-    /// The longest deadline that a request may state.
-    #[serde(with = "humantime_serde")]
-    pub max_deadline: Duration,
-}
-
-impl Default for RequestLimits {
-    fn default() -> Self {
-        Self {
-            max_body: ByteSize(4 << 20),
-            max_in_flight: 10_000,
-            default_deadline: Duration::from_secs(120),
-            max_deadline: Duration::from_secs(600),
-        }
-    }
-}
-
 /// Times of the exchange with agents and other entries.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -109,9 +88,6 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct ClaimSettings {
-    /// The age at which a dated key is refused. The log must keep claims for longer.
-    #[serde(with = "humantime_serde")]
-    pub key_window: Duration,
     /// Whether keys that carry no date (any but UUIDv7) are refused.
     pub require_dated_keys: bool,
     /// The shortest time between two appends.
@@ -122,15 +98,18 @@
 impl Default for ClaimSettings {
     fn default() -> Self {
         Self {
-            key_window: Duration::from_secs(24 * 3_600),
             require_dated_keys: false,
             append_interval: Duration::from_millis(5),
         }
     }
 }
 
-fn default_services_path() -> String {
-    "/services".to_owned()
+const fn default_max_in_flight() -> u32 {
+    10_000
+}
+
+const fn default_log_level() -> LevelFilter {
+    LevelFilter::Info
 }
 
 impl EntrySettings {
@@ -152,9 +131,10 @@
             log_address,
             vm_list_address: None,
             entries: Vec::new(),
-            services_path: default_services_path(),
             traffic_threads: 2,
-            limits: RequestLimits::default(),
+            max_in_flight: default_max_in_flight(),
+            log_level: default_log_level(),
+            collector: None,
             peers: PeerTimes::default(),
             claims: ClaimSettings::default(),
         }
@@ -164,13 +144,6 @@
 impl CheckedSettings for EntrySettings {
     fn faults(&self) -> Vec<SettingFault> {
         let mut faults = Vec::new();
-        if !self.services_path.starts_with('/') || self.services_path.ends_with('/') {
-            faults.push(SettingFault::new(
-                "services_path",
-                &self.services_path,
-                "a path that starts with / and does not end with it",
-            ));
-        }
         let times = [
             ("peers.connect_timeout", self.peers.connect_timeout),
             ("peers.heartbeat", self.peers.heartbeat),
@@ -179,18 +152,15 @@
                 "peers.announcement_timeout",
                 self.peers.announcement_timeout,
             ),
-            ("limits.default_deadline", self.limits.default_deadline),
-            ("limits.max_deadline", self.limits.max_deadline),
-            ("claims.key_window", self.claims.key_window),
         ];
         for (key, time) in times {
             if time.is_zero() {
                 faults.push(SettingFault::new(key, "0s", "a time above zero"));
             }
         }
-        if self.limits.max_in_flight == 0 {
+        if self.max_in_flight == 0 {
             faults.push(SettingFault::new(
-                "limits.max_in_flight",
+                "max_in_flight",
                 0,
                 "a whole number above zero",
             ));
--- a/crates/amaranth-entry/tests/completions.rs
+++ b/crates/amaranth-entry/tests/entry/completions.rs
@@ -1,7 +1,5 @@
 //! Completions through an entry, with a fake agent behind it.
 
-mod support;
-
 use std::time::Duration;
 
 use amaranth_core::errors::{Error, ErrorKind};
@@ -11,8 +9,9 @@
 use rstest::rstest;
 use serde_json::json;
 
-use support::caller::EntryCaller;
-use support::fake_agent::{AnswerScript, FakeAgent};
+use crate::support::caller::EntryCaller;
+use crate::support::fake_agent::{AnswerScript, FakeAgent};
+use crate::support::{configured_log, settings, spawn_entry};
 
 const CHAT: &str = r#"{"model":"depot","messages":[{"role":"user","content":"read"}]}"#;
 const STREAMED_CHAT: &str =
@@ -31,7 +30,7 @@
 }
 
 async fn spawn_path(script: AnswerScript) -> Path {
-    let entry = support::spawn_entry(support::settings()).await;
+    let entry = spawn_entry(settings("entry-1"), &configured_log().await).await;
     let agent = FakeAgent::spawn("agent-1").await;
     agent.answer_with(Ok(script));
     agent.announce(entry.peer_address(), 1).await;
@@ -48,7 +47,7 @@
     let path = spawn_path(AnswerScript::whole(&CHAT_CHUNKS)).await;
     let answer = path.caller.post("/v1/chat/completions", CHAT).await;
     assert_eq!(answer.status, StatusCode::OK);
-    assert_eq!(answer.header("x-amaranth-revision"), "7");
+    assert_eq!(answer.header("x-amaranth-revision"), "1");
     assert_eq!(answer.header("x-amaranth-run"), "run");
     let expected = json!({
         "id": "c1", "object": "chat.completion", "created": 1, "model": "depot@3",
--- a/crates/amaranth-entry/tests/support/fake_agent.rs
+++ b/crates/amaranth-entry/tests/entry/support/fake_agent.rs
@@ -126,6 +126,15 @@
         self.books.lock().expect("not poisoned").calls.clone()
     }
 
+    /// Returns how often calls with `key` ran.
+    pub fn executions(&self, key: &str) -> usize {
+        let has_key = |call: &ServiceRequest| {
+            let claim = call.claim.as_ref();
+            claim.is_some_and(|claim| claim.key.as_str() == key)
+        };
+        self.calls().iter().filter(|call| has_key(call)).count()
+    }
+
     /// Returns the announcement with this number.
     pub fn announcement(&self, sequence: u64) -> AgentAnnouncement {
         let report = |endpoint: String, offer| EndpointReport {
