--- /dev/null
+++ b/crates/amaranth-ports/tests/http_outcomes.rs
@@ -0,0 +1,146 @@
+//! What the HTTP clients say of calls that fail, against a raw TCP server.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+use amaranth_core::ids::RequestId;
+use amaranth_core::request::ServiceRequest;
+use amaranth_core::trace::TraceContext;
+use amaranth_ports::PortError;
+use amaranth_ports::http_service::HttpService;
+use amaranth_ports::service::ServicePort;
+use bytes::Bytes;
+use rstest::rstest;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const LONG: Duration = Duration::from_secs(30);
+const SHORT: Duration = Duration::from_millis(200);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+
+/// What the server does with a request that it has read.
+#[derive(Debug, Clone, Copy)]
+enum Reaction {
+    Close,
+    StaySilent,
+    AnswerHalf,
+    AnswerAndClose,
+}
+
+/// Counts the requests that reached it.
+struct RawServer {
+    address: SocketAddr,
+    requests: Arc<AtomicU32>,
+}
+
+impl RawServer {
+    async fn spawn(reaction: Reaction) -> Self {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+        let listener = listener.expect("server binds");
+        let address = listener.local_addr().expect("address");
+        let requests = Arc::new(AtomicU32::new(0));
+        let counter = Arc::clone(&requests);
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(react(stream, reaction, Arc::clone(&counter)));
+            }
+        });
+        Self { address, requests }
+    }
+}
+
+async fn react(mut stream: TcpStream, reaction: Reaction, requests: Arc<AtomicU32>) {
+    let mut received = Vec::new();
+    while !received.ends_with(b"\"tins\"") {
+        let mut chunk = [0; 1024];
+        match stream.read(&mut chunk).await {
+            Ok(length) if length > 0 => received.extend_from_slice(&chunk[..length]),
+            _ => return,
+        }
+    }
+    requests.fetch_add(1, Ordering::SeqCst);
+    match reaction {
+        Reaction::Close => {}
+        Reaction::StaySilent => std::future::pending().await,
+        Reaction::AnswerHalf => {
+            let half = stream.write_all(&ANSWER[..ANSWER.len() - 1]).await;
+            half.expect("half an answer is sent");
+        }
+        Reaction::AnswerAndClose => {
+            stream.write_all(ANSWER).await.expect("answer is sent");
+        }
+    }
+}
+
+fn request() -> ServiceRequest {
+    ServiceRequest {
+        id: RequestId(1),
+        service: "member-desk".parse().expect("service"),
+        endpoint: "desk-1".parse().expect("endpoint"),
+        method: "POST".to_owned(),
+        path: "/bookings".to_owned(),
+        content_type: None,
+        body: Bytes::from_static(b"\"tins\""),
+        claim: None,
+        time_left: LONG,
+        trace: TraceContext {
+            trace_id: 1,
+            span_id: 1,
+            sampled: false,
+        },
+    }
+}
+
+#[tokio::test]
+async fn port_that_nobody_listens_on_is_unreachable() {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await;
+    let address = listener.and_then(|listener| listener.local_addr());
+    let client = HttpService::open(address.expect("address"));
+    let failed = client.call(&request(), LONG).await;
+    assert!(
+        matches!(failed, Err(PortError::Unreachable(_))),
+        "{failed:?}"
+    );
+}
+
+#[rstest]
+#[case::closed(Reaction::Close, LONG)]
+#[case::silent(Reaction::StaySilent, SHORT)]
+#[case::half_an_answer(Reaction::AnswerHalf, LONG)]
+#[tokio::test]
+async fn request_that_arrived_and_was_not_answered_is_uncertain_and_not_repeated(
+    #[case] reaction: Reaction,
+    #[case] timeout: Duration,
+) {
+    let server = RawServer::spawn(reaction).await;
+    let client = HttpService::open(server.address);
+    let failed = client.call(&request(), timeout).await;
+    assert!(matches!(failed, Err(PortError::Uncertain(_))), "{failed:?}");
+    assert_eq!(server.requests.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn connection_that_closed_between_calls_is_replaced_without_repeating_one() {
+    const CALLS: u32 = 50;
+    let server = RawServer::spawn(Reaction::AnswerAndClose).await;
+    let client = HttpService::open(server.address);
+    let mut answered = 0;
+    for _ in 0..CALLS {
+        // A call may hit the closing connection; it is then uncertain, never sent twice.
+        match client.call(&request(), LONG).await {
+            Ok(answer) => {
+                assert_eq!(answer.body.as_ref(), b"ok");
+                answered += 1;
+            }
+            Err(error) => assert!(error.may_have_run(), "{error}"),
+        }
+    }
+    let arrived = server.requests.load(Ordering::SeqCst);
+    assert!(
+        answered <= arrived && arrived <= CALLS,
+        "{answered} {arrived}"
+    );
+    assert!(answered > 0);
+}
