--- a/crates/amaranth-control/src/lib.rs
+++ b/crates/amaranth-control/src/lib.rs
@@ -1,14 +1,22 @@
 //! Outcomes and membership as state machines without I/O.
 //!
 //! [`answer_buffer`] keeps an agent's answers until they are acknowledged; [`claim_record`] and
-//! [`claim_ledger`] rule which non-idempotent call may run.
+//! [`claim_ledger`] rule which non-idempotent call may run. [`membership`] knows which processes
+//! are alive, by the heartbeats that a [`detector`] judges, and [`ranking`] gives them their
+//! duties. [`retry_budget`], [`breaker`] and [`deadline`] bound what is tried again.
 
 pub mod answer_buffer;
 pub mod answer_cursor;
+pub mod breaker;
 pub mod claim_call;
 pub mod claim_desk;
 pub mod claim_ledger;
 pub mod claim_outbox;
 pub mod claim_record;
 pub mod claim_watch;
+pub mod deadline;
+pub mod detector;
 pub mod key_window;
+pub mod membership;
+pub mod ranking;
+pub mod retry_budget;
