--- a/crates/amaranth-config/src/catalogue/draft.rs
+++ b/crates/amaranth-config/src/catalogue/draft.rs
@@ -7,6 +7,8 @@
 use std::sync::Arc;
 
 use amaranth_core::ids::{AdapterVersion, ConfigRevision, ModelName, RuleName};
+use postcard::ser_flavors::Size;
+use postcard::serialize_with_flavor;
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
@@ -27,6 +29,12 @@
 pub const MAX_ENTRIES: usize =
     MAX_MODELS + MAX_ADAPTERS + MAX_RULES + MAX_SERVICES + MAX_ENDPOINT_GROUPS + 2;
 
+/// Largest sum of all entries as records carry them, in bytes.
+pub const MAX_CATALOGUE_BYTES: usize = 24 << 20;
+
+/// Largest entry as records carry it, in bytes.
+pub const MAX_ENTRY_BYTES: usize = 16 << 10;
+
 /// Most adapters.
 pub const MAX_ADAPTERS: usize = 150_000;
 
@@ -174,6 +182,8 @@
             self.report(&key, EntryField::Entry, ProblemKind::EditedTwice);
             return;
         }
+        let replaced = self.catalogue.entry(&key);
+        self.catalogue.encoded_bytes -= replaced.as_ref().map_or(0, encoded_bytes);
         match edit {
             ConfigEdit::Put(entry) => self.put(entry),
             ConfigEdit::Remove(key) => self.remove(key),
@@ -181,6 +191,12 @@
     }
 
     fn put(&mut self, entry: &ConfigEntry) {
+        let bytes = encoded_bytes(entry);
+        self.catalogue.encoded_bytes += bytes;
+        if bytes > MAX_ENTRY_BYTES {
+            let kind = ProblemKind::TooLarge(MAX_ENTRY_BYTES);
+            self.report(&entry.key(), EntryField::Entry, kind);
+        }
         let catalogue = &mut self.catalogue;
         let revision = catalogue.revision;
         match entry.clone() {
@@ -569,13 +585,19 @@
         ];
         for (what, total, limit) in totals {
             if total > limit {
-                let kind = ProblemKind::TooMany { what, limit };
+                let kind = ProblemKind::TotalExceeded { what, limit };
                 self.report(&ConfigKey::Limits, EntryField::Entry, kind);
             }
         }
     }
 }
 
+/// Returns the size of `entry` as records carry it.
+fn encoded_bytes(entry: &ConfigEntry) -> usize {
+    // Every entry encodes; one that would not is refused as too large.
+    serialize_with_flavor(entry, Size::default()).unwrap_or(usize::MAX >> 1)
+}
+
 /// Returns the names among a rule's targets that do not depend on the caller.
 fn fixed_targets(rule: &RuleEntry) -> impl Iterator<Item = &str> {
     rule.targets
--- a/crates/amaranth-config/src/catalogue/mod.rs
+++ b/crates/amaranth-config/src/catalogue/mod.rs
@@ -23,8 +23,9 @@
 use slot::Slot;
 
 pub use draft::{
-    CatalogueRestore, ConfigEdit, MAX_ADAPTERS, MAX_ALIAS_DEPTH, MAX_ENDPOINT_GROUPS, MAX_ENTRIES,
-    MAX_MODELS, MAX_RULES, MAX_RULES_PER_NAME, MAX_SERVICES,
+    CatalogueRestore, ConfigEdit, MAX_ADAPTERS, MAX_ALIAS_DEPTH, MAX_CATALOGUE_BYTES,
+    MAX_ENDPOINT_GROUPS, MAX_ENTRIES, MAX_ENTRY_BYTES, MAX_MODELS, MAX_RULES, MAX_RULES_PER_NAME,
+    MAX_SERVICES,
 };
 pub use problem::{CatalogueProblem, EntryField, ProblemKind};
 pub use resolve::{ResolvedModel, ResolvedService};
@@ -35,6 +36,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Catalogue {
     revision: ConfigRevision,
+    encoded_bytes: usize,
     models: SharedMap<Slot<ModelEntry>>,
     adapters: SharedMap<Slot<AdapterEntry>>,
     rules: SharedMap<Slot<Arc<RuleEntry>>>,
--- a/crates/amaranth-config/src/catalogue/problem.rs
+++ b/crates/amaranth-config/src/catalogue/problem.rs
@@ -57,7 +57,10 @@
 
 impl fmt::Display for CatalogueProblem {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{} {}", self.key, self.kind)
+        match &self.kind {
+            total @ ProblemKind::TotalExceeded { .. } => total.fmt(formatter),
+            kind => write!(formatter, "{} {kind}", self.key),
+        }
     }
 }
 
@@ -134,6 +137,17 @@
         /// The limit.
         limit: usize,
     },
+    /// All entries together are too many or too large.
+    #[error("the configuration has more than {limit} {what}")]
+    TotalExceeded {
+        /// What there is too much of.
+        what: &'static str,
+        /// The limit.
+        limit: usize,
+    },
+    /// The entry is too large.
+    #[error("takes more than {0} bytes")]
+    TooLarge(usize),
     /// A limit is outside of its range.
     #[error("sets {limit} to {value}, which is not between {least} and {most}")]
     LimitOutOfRange {
--- a/crates/amaranth-config/src/snapshot.rs
+++ b/crates/amaranth-config/src/snapshot.rs
@@ -76,13 +76,26 @@
 }
 
 impl SnapshotState {
-    /// Encodes the state as records, in the order of their indexes.
+    /// Encodes the state as records of about [`PART_BYTES`], in the order of their indexes.
     ///
     /// # Errors
     ///
     /// Returns an error when an entry is too large for a record.
     pub fn to_records(&self, id: SnapshotId) -> Result<Vec<Bytes>, RecordFault> {
-        let mut parts = PartWriter::default();
+        self.to_sized_records(id, PART_BYTES)
+    }
+
+    /// Encodes the state as records of about `part_bytes`, in the order of their indexes.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an entry is too large for a record.
+    pub fn to_sized_records(
+        &self,
+        id: SnapshotId,
+        part_bytes: usize,
+    ) -> Result<Vec<Bytes>, RecordFault> {
+        let mut parts = PartWriter::open(part_bytes);
         for row in self.rows() {
             parts.push(&row)?;
         }
@@ -127,18 +140,27 @@
 }
 
 /// Fills parts with encoded rows.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct PartWriter {
+    part_bytes: usize,
     full: Vec<Vec<u8>>,
     open: Vec<u8>,
 }
 
 impl PartWriter {
+    const fn open(part_bytes: usize) -> Self {
+        Self {
+            part_bytes,
+            full: Vec::new(),
+            open: Vec::new(),
+        }
+    }
+
     fn push(&mut self, row: &SnapshotRow) -> Result<(), RecordFault> {
         let open = std::mem::take(&mut self.open);
         self.open = postcard::to_extend(row, open)
             .map_err(|error| RecordFault::Malformed(error.to_string()))?;
-        if self.open.len() >= PART_BYTES {
+        if self.open.len() >= self.part_bytes {
             self.full.push(std::mem::take(&mut self.open));
         }
         Ok(())
