Decide leases and pins as state machines

An unload can only be written for an adapter without requests; a book without counts fails the same test.

--- a/crates/amaranth-control/src/lib.rs
+++ b/crates/amaranth-control/src/lib.rs
@@ -1,7 +1,8 @@
 //! Outcomes and membership as state machines without I/O.
 //!
 //! [`answer_buffer`] keeps an agent's answers until they are acknowledged; [`claim_record`] and
-//! [`claim_ledger`] rule which non-idempotent call may run. [`membership`] knows which processes
+//! [`claim_ledger`] rule which non-idempotent call may run. [`lease`] decides which process may
+//! give an endpoint orders, and [`pins`] keeps adapters in flight from being evicted. [`membership`] knows which processes
 //! are alive, by the heartbeats that a [`detector`] judges, and [`ranking`] gives them their
 //! duties. [`retry_budget`], [`breaker`] and [`deadline`] bound what is tried again.
 
@@ -17,6 +18,8 @@
 pub mod deadline;
 pub mod detector;
 pub mod key_window;
+pub mod lease;
 pub mod membership;
+pub mod pins;
 pub mod ranking;
 pub mod retry_budget;
--- /dev/null
+++ b/crates/amaranth-control/tests/pins.rs
@@ -0,0 +1,164 @@
+//! Pins against a model that counts requests, and against a naive book without counts.
+
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+
+use amaranth_control::lease::stage::{Lease, OrderPermit};
+use amaranth_control::pins::PinBook;
+use amaranth_core::ids::{AdapterRef, AdapterVersion, FencingToken};
+use amaranth_core::time::Timestamp;
+use proptest::collection::vec;
+use proptest::prelude::{ProptestConfig, Strategy, prop_oneof, proptest};
+use proptest::prop_assert;
+use proptest::strategy::ValueTree;
+use proptest::test_runner::{RngSeed, TestRunner};
+
+fn config(cases: u32) -> ProptestConfig {
+    ProptestConfig {
+        cases,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(7),
+        ..ProptestConfig::default()
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Pin(u64),
+    Unpin(u64),
+    Evict(u64),
+    UnloadEnded(u64),
+}
+
+fn any_steps() -> impl Strategy<Value = Vec<Step>> {
+    let adapter = 0..3_u64;
+    let step = prop_oneof![
+        adapter.clone().prop_map(Step::Pin),
+        adapter.clone().prop_map(Step::Unpin),
+        adapter.clone().prop_map(Step::Evict),
+        adapter.prop_map(Step::UnloadEnded),
+    ];
+    vec(step, 0..60)
+}
+
+fn adapter(number: u64) -> AdapterRef {
+    AdapterRef {
+        name: "manifest".parse().unwrap(),
+        version: AdapterVersion(number),
+    }
+}
+
+fn permit() -> OrderPermit {
+    Lease::open("engine-1".parse().unwrap())
+        .claim(0)
+        .win(FencingToken(1), Timestamp::from_millis(1_000))
+        .permit(true, Duration::from_millis(10))
+}
+
+trait Pins {
+    fn pin(&mut self, adapter: &AdapterRef) -> bool;
+    fn unpin(&mut self, adapter: &AdapterRef);
+    fn evict(&mut self, adapter: &AdapterRef) -> bool;
+    fn unload_ended(&mut self, adapter: &AdapterRef);
+}
+
+impl Pins for PinBook {
+    fn pin(&mut self, adapter: &AdapterRef) -> bool {
+        self.pin(adapter)
+    }
+    fn unpin(&mut self, adapter: &AdapterRef) {
+        self.unpin(adapter);
+    }
+    fn evict(&mut self, adapter: &AdapterRef) -> bool {
+        self.evict(adapter, permit()).is_some()
+    }
+    fn unload_ended(&mut self, adapter: &AdapterRef) {
+        self.unload_ended(adapter);
+    }
+}
+
+/// Remembers that an adapter is used, but not by how many.
+#[derive(Default)]
+struct NaivePins(HashSet<AdapterRef>);
+
+impl Pins for NaivePins {
+    fn pin(&mut self, adapter: &AdapterRef) -> bool {
+        self.0.insert(adapter.clone());
+        true
+    }
+    fn unpin(&mut self, adapter: &AdapterRef) {
+        self.0.remove(adapter);
+    }
+    fn evict(&mut self, adapter: &AdapterRef) -> bool {
+        !self.0.contains(adapter)
+    }
+    fn unload_ended(&mut self, _adapter: &AdapterRef) {}
+}
+
+/// Returns whether an adapter was evicted in flight, or used while it was evicted.
+fn breaks(pins: &mut impl Pins, steps: &[Step]) -> bool {
+    let mut in_flight: HashMap<u64, u32> = HashMap::new();
+    let mut evicting = HashSet::new();
+    for step in steps {
+        match *step {
+            Step::Pin(number) => {
+                if pins.pin(&adapter(number)) {
+                    *in_flight.entry(number).or_default() += 1;
+                }
+            }
+            Step::Unpin(number) => {
+                if let Some(count) = in_flight.get_mut(&number).filter(|count| **count > 0) {
+                    *count -= 1;
+                    pins.unpin(&adapter(number));
+                }
+            }
+            Step::Evict(number) => {
+                if pins.evict(&adapter(number)) {
+                    evicting.insert(number);
+                }
+            }
+            Step::UnloadEnded(number) => {
+                if evicting.remove(&number) {
+                    pins.unload_ended(&adapter(number));
+                }
+            }
+        }
+        let used = |number: &u64| in_flight.get(number).is_some_and(|count| *count > 0);
+        if evicting.iter().any(used) {
+            return true;
+        }
+    }
+    false
+}
+
+proptest! {
+    #![proptest_config(config(2_000))]
+
+    #[test]
+    fn no_interleaving_evicts_an_adapter_in_flight(steps in any_steps()) {
+        prop_assert!(!breaks(&mut PinBook::open(), &steps));
+    }
+}
+
+#[test]
+fn naive_pins_evict_an_adapter_in_flight() {
+    let mut runner = TestRunner::new(config(1));
+    let broken = (0..200).any(|_| {
+        let steps = any_steps().new_tree(&mut runner).unwrap().current();
+        breaks(&mut NaivePins::default(), &steps)
+    });
+    assert!(broken);
+}
+
+/// An adapter that nothing pins can be evicted, and pinned again once the unload ended.
+#[test]
+fn idle_adapter_can_be_evicted_and_used_again() {
+    let mut book = PinBook::open();
+    assert!(book.pin(&adapter(1)));
+    assert!(book.evict(&adapter(1), permit()).is_none());
+    book.unpin(&adapter(1));
+    assert!(book.evict(&adapter(1), permit()).is_some());
+    assert!(!book.pin(&adapter(1)));
+    book.unload_ended(&adapter(1));
+    assert!(book.pin(&adapter(1)));
+}
