--- a/crates/amaranth-agent/src/answer_store.rs
+++ b/crates/amaranth-agent/src/answer_store.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use amaranth_control::answer_buffer::AnswerBuffer;
-use amaranth_core::errors::{Error, Result, not_found};
-use amaranth_core::ids::{RequestId, Sequence};
+use amaranth_core::errors::{Error, ErrorKind, Result, not_found};
+use amaranth_core::ids::{EndpointId, RequestId, Sequence};
 use amaranth_core::request::{AnswerBatch, AnswerEnd};
 use bytes::Bytes;
 use tokio::sync::Notify;
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::engine_control::{EngineEvent, EngineHandle};
+use crate::settings::AgentLimits;
 
 /// Longest time that one read waits for a chunk.
 const LONGEST_READ_WAIT: Duration = Duration::from_secs(5);
@@ -27,6 +28,7 @@
 #[derive(Debug)]
 pub struct AnswerSlot {
     id: RequestId,
+    endpoint: EndpointId,
     engine: EngineHandle,
     buffer: Mutex<AnswerBuffer>,
     last_read: Mutex<Instant>,
@@ -37,11 +39,12 @@
 }
 
 impl AnswerSlot {
-    fn open(id: RequestId, limit_bytes: usize, engine: EngineHandle) -> Self {
+    fn open(id: RequestId, endpoint: EndpointId, engine: EngineHandle, limit: usize) -> Self {
         Self {
             id,
+            endpoint,
             engine,
-            buffer: Mutex::new(AnswerBuffer::open(id, limit_bytes)),
+            buffer: Mutex::new(AnswerBuffer::open(id, limit)),
             last_read: Mutex::new(Instant::now()),
             readable: Notify::new(),
             writable: Notify::new(),
@@ -55,6 +58,11 @@
         self.id
     }
 
+    /// Returns the engine that the answer comes from.
+    pub const fn endpoint(&self) -> &EndpointId {
+        &self.endpoint
+    }
+
     /// Returns the token that is cancelled when nobody waits for the answer.
     pub const fn cancelled(&self) -> &CancellationToken {
         &self.cancelled
@@ -65,77 +73,103 @@
         lock(&self.buffer).is_ended()
     }
 
-    /// Waits until the buffer has room and appends the next chunk.
-    pub async fn push(&self, data: Bytes) {
+    /// Returns the sequence of the next new chunk.
+    pub fn next_sequence(&self) -> Sequence {
+        lock(&self.buffer).next_sequence()
+    }
+
+    /// Waits until the buffer has room and takes the next chunk.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a second run differs from the first.
+    pub async fn push(&self, data: Bytes) -> Result<()> {
         loop {
             let writable = self.writable.notified();
             {
                 let mut buffer = lock(&self.buffer);
                 if !buffer.is_full() {
-                    buffer.push(data);
+                    buffer.push(data)?;
                     break;
                 }
             }
             writable.await;
         }
         self.readable.notify_waiters();
+        Ok(())
     }
 
-    /// Ends the answer. The first end stands.
-    pub fn finish(&self, end: AnswerEnd) {
-        lock(&self.buffer).finish(end);
-        self.readable.notify_waiters();
+    /// Prepares for the chunks of another run.
+    pub fn rerun(&self) {
+        lock(&self.buffer).rerun();
     }
 
-    /// Stops the work on an answer that nobody waits for.
-    async fn cancel(&self) {
-        self.cancelled.cancel();
-        if !self.is_ended() {
-            self.engine.send(EngineEvent::Cancelled(self.id)).await;
-        }
+    /// Ends the answer as whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a second run ended before the first.
+    pub fn complete(&self) -> Result<()> {
+        lock(&self.buffer).complete()?;
+        self.readable.notify_waiters();
+        Ok(())
     }
 
-    /// Ends the answer with an error.
+    /// Ends the answer with an error. The first end stands.
     pub fn fail(&self, error: Error) {
-        self.finish(AnswerEnd::Failed(error));
+        lock(&self.buffer).finish(AnswerEnd::Failed(error));
+        self.readable.notify_waiters();
     }
 
     /// Returns the chunks from `from` on, waiting up to `wait` for one; empty means still alive.
-    pub async fn read(&self, from: Sequence, wait: Duration) -> AnswerBatch {
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the chunk at `from` is gone or does not exist.
+    pub async fn read(&self, from: Sequence, wait: Duration) -> Result<AnswerBatch> {
         let wait = wait.min(LONGEST_READ_WAIT);
         let empty = AnswerBatch {
             id: self.id,
             chunks: Vec::new(),
             end: None,
         };
-        timeout(wait, self.next_batch(from)).await.unwrap_or(empty)
+        let read = timeout(wait, self.next_batch(from)).await;
+        read.unwrap_or(Ok(empty))
     }
 
-    async fn next_batch(&self, from: Sequence) -> AnswerBatch {
+    async fn next_batch(&self, from: Sequence) -> Result<AnswerBatch> {
         loop {
             let readable = self.readable.notified();
             tokio::pin!(readable);
             readable.as_mut().enable();
-            if let Some(batch) = self.try_read(from) {
-                return batch;
+            if let Some(batch) = self.try_read(from)? {
+                return Ok(batch);
             }
             readable.await;
         }
     }
 
-    fn try_read(&self, from: Sequence) -> Option<AnswerBatch> {
+    fn try_read(&self, from: Sequence) -> Result<Option<AnswerBatch>> {
         *lock(&self.last_read) = Instant::now();
-        let batch = lock(&self.buffer).read(from);
+        let batch = lock(&self.buffer).read(from)?;
         self.writable.notify_one();
         if batch.as_ref().is_some_and(|batch| batch.end.is_some()) {
             self.delivered.store(true, Ordering::Release);
         }
-        batch
+        Ok(batch)
     }
 
     fn unread_for(&self, now: Instant) -> Duration {
         now.saturating_duration_since(*lock(&self.last_read))
     }
+
+    /// Stops the work on an answer that nobody waits for.
+    async fn cancel(&self) {
+        self.cancelled.cancel();
+        if !self.is_ended() {
+            self.engine.send(EngineEvent::Cancelled(self.id)).await;
+        }
+    }
 }
 
 /// All answers that are running or unread.
@@ -143,28 +177,57 @@
 pub struct AnswerStore {
     slots: Mutex<HashMap<RequestId, Arc<AnswerSlot>>>,
     limit_bytes: usize,
+    limit_answers: usize,
     unread_window: Duration,
 }
 
 impl AnswerStore {
     /// Opens an empty store.
-    pub fn open(limit_bytes: usize, unread_window: Duration) -> Self {
+    pub fn open(limits: &AgentLimits) -> Self {
         Self {
             slots: Mutex::new(HashMap::new()),
-            limit_bytes,
-            unread_window,
+            limit_bytes: limits.answer_buffer.as_usize(),
+            limit_answers: limits.answers,
+            unread_window: limits.unread_window,
         }
     }
 
-    /// Returns the slot of `id` and whether this call created it.
-    pub fn open_slot(&self, id: RequestId, engine: &EngineHandle) -> (Arc<AnswerSlot>, bool) {
-        let mut slots = lock(&self.slots);
-        if let Some(slot) = slots.get(&id) {
-            return (slot.clone(), false);
+    /// Opens the slot of an answer that comes from `endpoint`.
+    ///
+    /// An answer of the same request from another endpoint gives way: its reader has turned to
+    /// this one. Returns nothing when the slot exists already.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Overloaded` when too many answers are running or unread.
+    pub async fn open_slot(
+        &self,
+        id: RequestId,
+        endpoint: &EndpointId,
+        engine: &EngineHandle,
+    ) -> Result<Option<Arc<AnswerSlot>>> {
+        let slot = AnswerSlot::open(id, endpoint.clone(), engine.clone(), self.limit_bytes);
+        let slot = Arc::new(slot);
+        let replaced = {
+            let mut slots = lock(&self.slots);
+            if slots
+                .get(&id)
+                .is_some_and(|slot| slot.endpoint == *endpoint)
+            {
+                return Ok(None);
+            }
+            if slots.len() >= self.limit_answers {
+                return Err(Error::new(
+                    ErrorKind::Overloaded,
+                    format!("the agent holds {} answers", slots.len()),
+                ));
+            }
+            slots.insert(id, slot.clone())
+        };
+        if let Some(replaced) = replaced {
+            replaced.cancel().await;
         }
-        let slot = Arc::new(AnswerSlot::open(id, self.limit_bytes, engine.clone()));
-        slots.insert(id, slot.clone());
-        (slot, true)
+        Ok(Some(slot))
     }
 
     /// Returns the slot of `id`.
@@ -179,10 +242,17 @@
             .ok_or_else(|| not_found(format!("request {id} has no answer at this agent")))
     }
 
-    /// Cancels an answer and forgets it.
-    pub async fn cancel(&self, id: RequestId) {
-        let removed = lock(&self.slots).remove(&id);
-        if let Some(slot) = removed {
+    /// Cancels the answer that comes from `endpoint` and forgets it.
+    pub async fn cancel(&self, id: RequestId, endpoint: &EndpointId) {
+        let removed = {
+            let mut slots = lock(&self.slots);
+            let matches = |slot: &Arc<AnswerSlot>| slot.endpoint == *endpoint;
+            slots
+                .get(&id)
+                .is_some_and(matches)
+                .then(|| slots.remove(&id))
+        };
+        if let Some(slot) = removed.flatten() {
             slot.cancel().await;
         }
     }
@@ -203,7 +273,14 @@
             .map(|(_, slot)| slot)
             .collect();
         for slot in expired {
-            log::info!("event=answer_forgotten request={}", slot.id);
+            if !slot.delivered.load(Ordering::Acquire) {
+                metrics::counter!("amaranth_agent_answers_abandoned_total").increment(1);
+                log::info!(
+                    "event=answer_abandoned request={} endpoint={}",
+                    slot.id,
+                    slot.endpoint
+                );
+            }
             slot.cancel().await;
         }
     }
--- a/crates/amaranth-agent/src/engine_control.rs
+++ b/crates/amaranth-agent/src/engine_control.rs
@@ -7,10 +7,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_core::errors::Error;
-use amaranth_core::ids::{AdapterRef, EndpointId, FencingToken, RequestId};
+use amaranth_control::lease::keeper::LeaseEvent;
+use amaranth_control::pins::PinBook;
+use amaranth_core::errors::{Error, ErrorKind};
+use amaranth_core::ids::{AdapterRef, EndpointId, RequestId};
 use amaranth_core::membership::{EndpointLoad, EndpointOffer, EndpointReport};
-use amaranth_core::request::CompletionRequest;
+use amaranth_core::request::{CompletionRequest, ModelTarget};
 use amaranth_core::time::Timestamp;
 use amaranth_placement::planner::{
     EnginePlanner, PlannedRequest, PlannerCommand, PlannerEvent, PlannerOptions,
@@ -18,13 +20,15 @@
 use amaranth_ports::engine::{EngineInventory, EnginePort};
 use amaranth_ports::{PortError, PortResult};
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, mpsc, watch};
+use tokio::sync::{Notify, mpsc};
 use tokio::time::{interval, timeout};
 
 use crate::answer_store::AnswerSlot;
 use crate::clock::AgentClock;
 use crate::decision_log::DecisionLog;
+use crate::engine_orders::EngineOrders;
 use crate::engine_traffic::{self, DispatchEnd, EngineDispatch};
+use crate::lease_keeper::LeaseHandle;
 use crate::load_permits::LoadPermits;
 use crate::settings::AgentLimits;
 use crate::task_group::TaskGroup;
@@ -38,6 +42,9 @@
 /// Events that are handled before the report is published again.
 const EVENTS_PER_REPORT: usize = 64;
 
+/// Times that a request is dispatched before its answer fails.
+const DISPATCH_LIMIT: u32 = 3;
+
 /// What the control task of an engine is told.
 pub enum EngineEvent {
     /// An entry sent a request, whose answer goes into the slot.
@@ -70,8 +77,8 @@
     pub changed: Arc<Notify>,
     /// The tasks that carry out commands.
     pub traffic: TaskGroup,
-    /// The token of the lease that is held now.
-    pub lease: watch::Receiver<Option<FencingToken>>,
+    /// The leases.
+    pub lease: LeaseHandle,
     /// Bounds of memory and time.
     pub limits: AgentLimits,
 }
@@ -96,28 +103,43 @@
     }
 }
 
-/// A request that is queued or running.
+/// A request that waits or runs.
 struct HeldRequest {
     request: Arc<CompletionRequest>,
     slot: Arc<AnswerSlot>,
     arrived: Timestamp,
     deadline: Timestamp,
-    dispatched: bool,
+    dispatches: u32,
+    stage: HeldStage,
+}
+
+/// Where a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum HeldStage {
+    /// In the planner's queue.
+    Queued,
+    /// On the engine.
+    Dispatched,
+    /// Waiting until the engine was read again, after it turned out not to be as planned.
+    Stalled,
 }
 
 /// The control state of one engine.
 struct EngineControl {
     endpoint: EndpointId,
-    port: Arc<dyn EnginePort>,
+    orders: EngineOrders,
     context: Arc<EngineContext>,
     handle: EngineHandle,
     planner: EnginePlanner,
+    pins: PinBook,
     held: HashMap<RequestId, HeldRequest>,
+    stalled: Vec<RequestId>,
     inventory: Option<Arc<EngineInventory>>,
     /// Orders begun or ended so far: an inventory that was read across one of them is stale.
-    orders: u64,
-    orders_open: usize,
+    order_count: u64,
+    open_orders: usize,
     reading: bool,
+    published: Option<EndpointReport>,
 }
 
 /// Spawns the control task of one engine on `control`.
@@ -146,18 +168,25 @@
     };
     let engine = EngineControl {
         endpoint,
-        port,
+        orders: EngineOrders {
+            port,
+            clock: context.clock,
+            order_timeout: context.limits.order_timeout,
+        },
         planner: EnginePlanner::open(PlannerOptions {
             queue_limit: context.limits.queue,
             ..PlannerOptions::default()
         }),
+        pins: PinBook::open(),
         context,
         handle: handle.clone(),
         held: HashMap::new(),
+        stalled: Vec::new(),
         inventory: None,
-        orders: 0,
-        orders_open: 0,
+        order_count: 0,
+        open_orders: 0,
         reading: false,
+        published: None,
     };
     control.spawn(engine.run(events));
     handle
@@ -165,7 +194,7 @@
 
 impl EngineControl {
     async fn run(mut self, mut events: mpsc::Receiver<EngineEvent>) {
-        let mut lease = self.context.lease.clone();
+        let board = self.context.lease.board().clone();
         let mut inventories = interval(self.context.limits.inventory_interval);
         let mut ticks = interval(TICK);
         let mut batch = Vec::with_capacity(EVENTS_PER_REPORT);
@@ -179,18 +208,15 @@
                         self.handle_event(event);
                     }
                 }
-                _ = ticks.tick(), if self.needs_ticks() => self.plan(PlannerEvent::Tick),
+                _ = ticks.tick(), if self.planner.queued() > 0 => self.plan(PlannerEvent::Tick),
                 _ = inventories.tick() => self.read_inventory(),
-                Ok(()) = lease.changed() => self.read_inventory(),
+                // A new holder reads back what its predecessor left.
+                () = board.changed() => self.read_inventory(),
             }
             self.publish();
         }
     }
 
-    fn needs_ticks(&self) -> bool {
-        self.planner.queued() > 0
-    }
-
     fn handle_event(&mut self, event: EngineEvent) {
         match event {
             EngineEvent::Arrived(request, slot) => self.admit(*request, slot),
@@ -203,7 +229,7 @@
             }
             EngineEvent::LoadEnded(adapter, result) => self.end_load(adapter, result),
             EngineEvent::UnloadEnded(adapter, result) => self.end_unload(adapter, result),
-            EngineEvent::Inventory(orders, result) => self.take_inventory(orders, result),
+            EngineEvent::Inventory(count, result) => self.take_inventory(count, result),
         }
     }
 
@@ -212,22 +238,43 @@
             return;
         }
         let now = self.context.clock.now();
+        let id = request.id;
+        let held = HeldRequest {
+            deadline: now + request.time_left,
+            request: Arc::new(request),
+            slot,
+            arrived: now,
+            dispatches: 0,
+            stage: HeldStage::Queued,
+        };
+        self.held.insert(id, held);
+        if !self.context.lease.board().holds(&self.endpoint) {
+            return self.refuse(id, self.no_lease());
+        }
+        self.enqueue(id);
+    }
+
+    fn no_lease(&self) -> Error {
+        Error::new(
+            ErrorKind::Fenced,
+            format!("this agent does not hold the lease on {}", self.endpoint),
+        )
+    }
+
+    fn enqueue(&mut self, id: RequestId) {
+        let Some(held) = self.held.get_mut(&id) else {
+            return;
+        };
+        held.stage = HeldStage::Queued;
+        let request = &held.request;
         let planned = PlannedRequest {
-            id: request.id,
+            id,
             target: request.target.clone(),
-            deadline: now + request.time_left,
+            deadline: held.deadline,
             priority: request.priority,
             prompt_tokens: request.prompt_tokens,
             max_tokens: request.max_tokens,
         };
-        let held = HeldRequest {
-            request: Arc::new(request),
-            slot,
-            arrived: now,
-            deadline: planned.deadline,
-            dispatched: false,
-        };
-        self.held.insert(planned.id, held);
         self.plan(PlannerEvent::Arrived(planned));
     }
 
@@ -242,7 +289,7 @@
         match command {
             PlannerCommand::Dispatch(id) => self.dispatch(id),
             PlannerCommand::RequestPermit(adapter, saved) => self.request_permit(adapter, saved),
-            PlannerCommand::ReturnPermit(adapter) => self.return_permit(adapter),
+            PlannerCommand::ReturnPermit(adapter) => self.return_permit(adapter, true),
             PlannerCommand::Load(adapter) => self.load(adapter),
             PlannerCommand::Unload(adapter) => self.unload(adapter),
             PlannerCommand::Refuse(id, error) => self.refuse(id, error),
@@ -253,28 +300,45 @@
         let Some(held) = self.held.remove(&id) else {
             return;
         };
-        metrics::counter!("amaranth_agent_refusals_total", "kind" => <&str>::from(error.kind))
-            .increment(1);
-        self.decide(format!(
-            "event=request_refused request={id} target={} kind={}",
-            held.request.target, error.kind
+        let kind: &'static str = error.kind.into();
+        metrics::counter!("amaranth_agent_refusals_total", "kind" => kind).increment(1);
+        self.decide(&format!(
+            "event=request_refused request={id} target={} kind={kind}",
+            held.request.target
         ));
         held.slot.fail(error);
     }
 
     fn dispatch(&mut self, id: RequestId) {
+        let now = self.context.clock.now();
         let Some(held) = self.held.get_mut(&id) else {
-            return;
+            // Its caller left in the same batch of events.
+            return self.finish(id);
         };
-        held.dispatched = true;
-        let stall = self.context.clock.now().since(held.arrived);
-        metrics::histogram!("amaranth_agent_load_stall_seconds").record(stall.as_secs_f64());
+        let pinned = held
+            .request
+            .target
+            .adapter()
+            .is_none_or(|adapter| self.pins.pin(adapter));
+        if !pinned || !self.context.lease.board().holds(&self.endpoint) {
+            if pinned {
+                self.unpin(id);
+            }
+            return self.stall(id);
+        }
+        held.stage = HeldStage::Dispatched;
+        held.dispatches += 1;
+        if held.request.target.adapter().is_some() && held.dispatches == 1 {
+            metrics::histogram!("amaranth_agent_load_stall_seconds")
+                .record(now.since(held.arrived).as_secs_f64());
+        }
         let dispatch = EngineDispatch {
-            port: self.port.clone(),
+            port: self.orders.port.clone(),
             request: held.request.clone(),
             slot: held.slot.clone(),
             inventory: self.inventory.clone(),
             deadline: self.context.clock.instant(held.deadline),
+            trace: held.request.trace,
         };
         let handle = self.handle.clone();
         self.context.traffic.spawn(async move {
@@ -284,19 +348,69 @@
     }
 
     fn end(&mut self, id: RequestId, end: DispatchEnd) {
-        if matches!(end, DispatchEnd::NotResident) {
-            self.read_inventory();
+        self.unpin(id);
+        match end {
+            DispatchEnd::Settled => {
+                self.held.remove(&id);
+                self.finish(id);
+            }
+            DispatchEnd::Interrupted(error) => self.retry(id, error),
         }
-        self.held.remove(&id);
+    }
+
+    /// Runs a request again whose engine broke off or did not hold its adapter.
+    fn retry(&mut self, id: RequestId, error: Error) {
+        let Some(held) = self.held.get(&id) else {
+            return self.finish(id);
+        };
+        let now = self.context.clock.now();
+        if held.dispatches >= DISPATCH_LIMIT || held.deadline <= now {
+            self.finish(id);
+            return self.refuse(id, error);
+        }
+        metrics::counter!("amaranth_agent_reruns_total").increment(1);
+        self.decide(&format!(
+            "event=request_interrupted request={id} cause={error:?}"
+        ));
+        self.stall(id);
+    }
+
+    /// Keeps a dispatched request back until the engine was read.
+    fn stall(&mut self, id: RequestId) {
+        if let Some(held) = self.held.get_mut(&id) {
+            held.stage = HeldStage::Stalled;
+            self.stalled.push(id);
+        }
+        self.finish(id);
+        self.read_inventory();
+    }
+
+    fn finish(&mut self, id: RequestId) {
         self.plan(PlannerEvent::Finished(id));
     }
 
+    fn unpin(&mut self, id: RequestId) {
+        let target = self.held.get(&id).map(|held| held.request.target.clone());
+        if let Some(ModelTarget::Adapter { adapter, .. }) = target {
+            self.pins.unpin(&adapter);
+        }
+    }
+
     /// Takes a request out of the queue. One that was dispatched ends by its own task, which
     /// learns from its slot that nobody waits.
     fn withdraw(&mut self, id: RequestId) {
-        if self.held.get(&id).is_some_and(|held| !held.dispatched) {
-            self.held.remove(&id);
-            self.plan(PlannerEvent::Withdrawn(id));
+        let Some(held) = self.held.get(&id) else {
+            return;
+        };
+        match held.stage {
+            HeldStage::Dispatched => {}
+            HeldStage::Queued => {
+                self.held.remove(&id);
+                self.plan(PlannerEvent::Withdrawn(id));
+            }
+            HeldStage::Stalled => {
+                self.held.remove(&id);
+            }
         }
     }
 
@@ -310,113 +424,103 @@
         });
     }
 
-    /// Gives a permit back whose load is no longer wanted.
-    fn return_permit(&self, adapter: AdapterRef) {
+    /// Gives a permit back whose load has ended or is no longer wanted.
+    fn return_permit(&self, adapter: AdapterRef, loaded: bool) {
         let endpoint = self.endpoint.clone();
         let permits = self.context.permits.clone();
         self.context
             .traffic
-            .spawn(async move { permits.release(&endpoint, &adapter, true).await });
+            .spawn(async move { permits.release(&endpoint, &adapter, loaded).await });
     }
 
     fn load(&mut self, adapter: AdapterRef) {
         self.begin_order();
-        let port = self.port.clone();
         let handle = self.handle.clone();
-        let limit = self.context.limits.order_timeout;
-        let token = *self.context.lease.borrow();
-        self.decide(format!("event=load_ordered adapter={adapter}"));
+        let orders = self.orders.clone();
+        let permit = self.context.lease.board().permit(&self.endpoint);
+        self.decide(&format!("event=load_ordered adapter={adapter}"));
         self.context.traffic.spawn(async move {
-            let order = async {
-                match token {
-                    Some(token) => port.load_adapter(&adapter, token, limit).await,
-                    None => Err(PortError::Refused("no lease is held".to_owned())),
-                }
-            };
-            let result = timeout(limit, order)
-                .await
-                .unwrap_or_else(|_| Err(given_up()));
+            let result = orders.load(&adapter, permit).await;
             handle.send(EngineEvent::LoadEnded(adapter, result)).await;
         });
     }
 
     fn unload(&mut self, adapter: AdapterRef) {
         self.begin_order();
-        let port = self.port.clone();
         let handle = self.handle.clone();
-        let limit = self.context.limits.order_timeout;
-        let token = *self.context.lease.borrow();
-        self.decide(format!("event=unload_ordered adapter={adapter}"));
+        let orders = self.orders.clone();
+        let permit = self.context.lease.board().permit(&self.endpoint);
+        let order = permit.and_then(|permit| self.pins.evict(&adapter, permit));
+        self.decide(&format!("event=unload_ordered adapter={adapter}"));
         self.context.traffic.spawn(async move {
-            let order = async {
-                match token {
-                    Some(token) => port.unload_adapter(&adapter, token, limit).await,
-                    None => Err(PortError::Refused("no lease is held".to_owned())),
+            let result = match order {
+                Some(order) => orders.unload(order).await,
+                None => {
+                    orders
+                        .refuse("the adapter is pinned or the lease is not held")
+                        .await
                 }
             };
-            let result = timeout(limit, order)
-                .await
-                .unwrap_or_else(|_| Err(given_up()));
             handle.send(EngineEvent::UnloadEnded(adapter, result)).await;
         });
     }
 
     fn end_load(&mut self, adapter: AdapterRef, result: PortResult<()>) {
         self.end_order();
-        let permits = self.context.permits.clone();
-        let endpoint = self.endpoint.clone();
-        let returned = adapter.clone();
-        let loaded = result.is_ok();
-        self.context
-            .traffic
-            .spawn(async move { permits.release(&endpoint, &returned, loaded).await });
+        self.return_permit(adapter.clone(), result.is_ok());
         match result {
             Ok(()) => {
                 metrics::counter!("amaranth_agent_loads_total", "outcome" => "loaded").increment(1);
-                self.decide(format!("event=adapter_loaded adapter={adapter}"));
+                self.decide(&format!("event=adapter_loaded adapter={adapter}"));
                 self.note_resident(&adapter, true);
                 self.plan(PlannerEvent::Loaded(adapter));
             }
             Err(error) => {
                 metrics::counter!("amaranth_agent_loads_total", "outcome" => "failed").increment(1);
-                self.decide(format!(
-                    "event=load_failed adapter={adapter} error={:?}",
-                    error.to_string()
-                ));
+                self.note_refused("load_failed", &adapter, &error);
                 self.plan(PlannerEvent::LoadFailed(adapter));
-                self.read_inventory();
             }
         }
     }
 
     fn end_unload(&mut self, adapter: AdapterRef, result: PortResult<()>) {
         self.end_order();
+        self.pins.unload_ended(&adapter);
         match result {
             Ok(()) => {
                 metrics::counter!("amaranth_agent_evictions_total").increment(1);
-                self.decide(format!("event=adapter_unloaded adapter={adapter}"));
+                self.decide(&format!("event=adapter_unloaded adapter={adapter}"));
                 self.note_resident(&adapter, false);
                 self.plan(PlannerEvent::Unloaded(adapter));
             }
             Err(error) => {
-                self.decide(format!(
-                    "event=unload_failed adapter={adapter} error={:?}",
-                    error.to_string()
-                ));
+                self.note_refused("unload_failed", &adapter, &error);
                 self.plan(PlannerEvent::UnloadFailed(adapter));
-                self.read_inventory();
             }
         }
     }
 
+    fn note_refused(&mut self, event: &str, adapter: &AdapterRef, error: &PortError) {
+        let cause = error.to_string();
+        self.decide(&format!("event={event} adapter={adapter} cause={cause:?}"));
+        if let PortError::Fenced(_) = error {
+            let lease = self.context.lease.clone();
+            let fenced = LeaseEvent::Fenced(self.endpoint.clone());
+            self.context
+                .traffic
+                .spawn(async move { lease.send(fenced).await });
+        }
+        self.read_inventory();
+    }
+
     fn begin_order(&mut self) {
-        self.orders += 1;
-        self.orders_open += 1;
+        self.order_count += 1;
+        self.open_orders += 1;
     }
 
     fn end_order(&mut self) {
-        self.orders += 1;
-        self.orders_open -= 1;
+        self.order_count += 1;
+        self.open_orders -= 1;
     }
 
     /// Keeps the resident list in step with an order that the engine confirmed.
@@ -437,65 +541,135 @@
             return;
         }
         self.reading = true;
-        let port = self.port.clone();
+        let port = self.orders.port.clone();
         let handle = self.handle.clone();
-        let orders = self.orders;
+        let count = self.order_count;
         let limit = self.context.limits.order_timeout;
         self.context.traffic.spawn(async move {
             let read = timeout(limit, port.inventory()).await;
-            let result = read.unwrap_or_else(|_| Err(given_up()));
-            handle.send(EngineEvent::Inventory(orders, result)).await;
+            let late = || PortError::Uncertain("no inventory in time".to_owned());
+            let result = read.unwrap_or_else(|_| Err(late()));
+            handle.send(EngineEvent::Inventory(count, result)).await;
         });
     }
 
-    fn take_inventory(&mut self, orders: u64, result: PortResult<EngineInventory>) {
+    fn take_inventory(&mut self, count: u64, result: PortResult<EngineInventory>) {
         self.reading = false;
         match result {
-            Ok(inventory) if orders == self.orders && self.orders_open == 0 => {
-                self.adopt(inventory);
+            Ok(inventory) => {
+                // Read across an order, it may show the engine before or after it; but another
+                // incarnation is certain.
+                let settled = count == self.order_count && self.open_orders == 0;
+                if settled || self.is_restart(&inventory) {
+                    self.adopt(inventory);
+                }
+                self.readmit();
             }
-            // Read across an order, it may show the engine before or after it.
-            Ok(_) => {}
             Err(error) => {
-                if self.inventory.take().is_some() {
-                    log::warn!(
-                        "event=engine_lost endpoint={} error={:?}",
-                        self.endpoint,
-                        error.to_string()
-                    );
-                    self.context.changed.notify_one();
-                }
+                self.lose_engine(&error);
+                self.refuse_stalled();
             }
         }
     }
 
+    fn is_restart(&self, inventory: &EngineInventory) -> bool {
+        self.inventory
+            .as_ref()
+            .is_none_or(|known| known.incarnation != inventory.incarnation)
+    }
+
     fn adopt(&mut self, inventory: EngineInventory) {
         if self.inventory.as_deref() == Some(&inventory) {
             return;
         }
+        if self.is_restart(&inventory) {
+            self.greet(&inventory);
+        }
         let adapters = inventory.adapters.clone();
         self.inventory = Some(Arc::new(inventory));
         self.plan(PlannerEvent::Inventory(adapters));
         self.context.changed.notify_one();
     }
 
-    fn publish(&self) {
+    /// Learns what kind of engine this is.
+    fn greet(&self, inventory: &EngineInventory) {
+        self.decide(&format!(
+            "event=engine_found incarnation={} resident={} checks_fencing={}",
+            inventory.incarnation,
+            inventory.adapters.len(),
+            inventory.checks_fencing
+        ));
+        let lease = self.context.lease.clone();
+        let kind = LeaseEvent::EngineKind {
+            endpoint: self.endpoint.clone(),
+            checks_fencing: inventory.checks_fencing,
+        };
+        self.context
+            .traffic
+            .spawn(async move { lease.send(kind).await });
+    }
+
+    fn lose_engine(&mut self, error: &PortError) {
+        if self.inventory.take().is_some() {
+            let cause = error.to_string();
+            self.decide(&format!("event=engine_lost cause={cause:?}"));
+            self.context.changed.notify_one();
+        }
+    }
+
+    /// Queues the requests again that waited for the engine to be read.
+    fn readmit(&mut self) {
+        for id in std::mem::take(&mut self.stalled) {
+            if self.context.lease.board().holds(&self.endpoint) {
+                self.enqueue(id);
+            } else {
+                let error = self.no_lease();
+                self.refuse(id, error);
+            }
+        }
+    }
+
+    /// Refuses the requests whose engine can't be read.
+    fn refuse_stalled(&mut self) {
+        for id in std::mem::take(&mut self.stalled) {
+            let error = Error::new(
+                ErrorKind::EndpointUnreachable,
+                format!("engine {} broke off and does not answer", self.endpoint),
+            );
+            self.refuse(id, error);
+        }
+    }
+
+    fn publish(&mut self) {
+        let report = self.report();
+        if self.published.as_ref() != Some(&report) {
+            let running = f64::from(report.load.in_flight);
+            let queued = f64::from(report.load.queued);
+            let endpoint = self.endpoint.to_string();
+            metrics::gauge!("amaranth_agent_batch_running", "endpoint" => endpoint.clone())
+                .set(running);
+            metrics::gauge!("amaranth_agent_queued", "endpoint" => endpoint).set(queued);
+            self.handle.report.store(Arc::new(report.clone()));
+            self.published = Some(report);
+        }
+    }
+
+    fn report(&self) -> EndpointReport {
         let Some(inventory) = &self.inventory else {
             let mut report = EndpointReport::clone(&self.handle.report());
             report.ready = false;
-            self.handle.report.store(Arc::new(report));
-            return;
+            return report;
         };
         let count = |number: usize| u16::try_from(number).unwrap_or(u16::MAX);
         let loading: Vec<AdapterRef> = self.planner.loading().cloned().collect();
-        let report = EndpointReport {
+        EndpointReport {
             endpoint: self.endpoint.clone(),
             offer: EndpointOffer::Engine {
                 bases: inventory.bases.iter().cloned().collect(),
                 adapter_slots: inventory.adapter_slots,
                 batch_slots: inventory.batch_slots,
             },
-            ready: self.context.lease.borrow().is_some(),
+            ready: self.context.lease.board().holds(&self.endpoint),
             load: EndpointLoad {
                 in_flight: count(self.planner.in_flight()),
                 queued: count(self.planner.queued()),
@@ -503,17 +677,13 @@
             },
             resident: self.planner.resident().cloned().collect(),
             loading,
-        };
-        self.handle.report.store(Arc::new(report));
+        }
     }
 
-    fn decide(&self, line: String) {
+    fn decide(&self, line: &str) {
+        let endpoint = &self.endpoint;
         self.context
             .decisions
-            .record(format!("{line} endpoint={}", self.endpoint));
+            .record(format!("{line} endpoint={endpoint}"));
     }
 }
-
-fn given_up() -> PortError {
-    PortError::Uncertain("no answer within the order timeout".to_owned())
-}
--- /dev/null
+++ b/crates/amaranth-agent/src/engine_orders.rs
@@ -0,0 +1,124 @@
+//! Orders to an engine: sent under a lease, and settled by reading the engine back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_control::lease::stage::OrderPermit;
+use amaranth_control::pins::UnloadOrder;
+use amaranth_core::ids::{AdapterRef, FencingToken};
+use amaranth_ports::engine::EnginePort;
+use amaranth_ports::{PortError, PortResult};
+use tokio::time::{Instant, sleep, sleep_until, timeout_at};
+
+use crate::clock::AgentClock;
+
+/// Time between two reads of an engine whose state an order left in doubt.
+const READ_BACK_PAUSE: Duration = Duration::from_millis(250);
+
+/// Pause after an order that was not sent, so that a planner does not repeat it at once.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(250);
+
+/// Sends orders to one engine.
+#[derive(Clone)]
+pub struct EngineOrders {
+    /// The engine.
+    pub port: Arc<dyn EnginePort>,
+    /// The clock of the permits.
+    pub clock: AgentClock,
+    /// Time within which an order lands or never does.
+    pub order_timeout: Duration,
+}
+
+impl EngineOrders {
+    /// Loads an adapter and returns when it is certain whether it is resident.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the adapter is not resident.
+    pub async fn load(&self, adapter: &AdapterRef, permit: Option<OrderPermit>) -> PortResult<()> {
+        let limit = self.order_timeout;
+        let deadline = Instant::now() + limit;
+        let sent = match self.token(permit.as_ref()) {
+            Ok(token) => timeout_at(deadline, self.port.load_adapter(adapter, token, limit))
+                .await
+                .unwrap_or_else(|_| Err(given_up())),
+            Err(error) => Err(error),
+        };
+        match sent {
+            Err(PortError::Uncertain(what)) => {
+                if self.read_back(adapter, deadline).await {
+                    return Ok(());
+                }
+                Err(PortError::Refused(format!("not resident after {what}")))
+            }
+            Err(error) => {
+                sleep(REFUSAL_PAUSE).await;
+                Err(error)
+            }
+            Ok(()) => Ok(()),
+        }
+    }
+
+    /// Unloads an adapter and returns when it is certain whether it is resident.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the adapter is still resident.
+    pub async fn unload(&self, order: UnloadOrder) -> PortResult<()> {
+        let adapter = order.adapter();
+        let limit = self.order_timeout;
+        let deadline = Instant::now() + limit;
+        let sent = match self.token(Some(order.permit())) {
+            Ok(token) => timeout_at(deadline, self.port.unload_adapter(adapter, token, limit))
+                .await
+                .unwrap_or_else(|_| Err(given_up())),
+            Err(error) => Err(error),
+        };
+        match sent {
+            Err(PortError::Uncertain(what)) => {
+                if self.read_back(adapter, deadline).await {
+                    return Err(PortError::Refused(format!("still resident after {what}")));
+                }
+                Ok(())
+            }
+            Err(error) => {
+                sleep(REFUSAL_PAUSE).await;
+                Err(error)
+            }
+            Ok(()) => Ok(()),
+        }
+    }
+
+    /// Waits as long as a planner should before it repeats an order that could not be written.
+    ///
+    /// # Errors
+    ///
+    /// Always returns `Refused` with `reason`.
+    pub async fn refuse(&self, reason: &str) -> PortResult<()> {
+        sleep(REFUSAL_PAUSE).await;
+        Err(PortError::Refused(reason.to_owned()))
+    }
+
+    /// Returns the token of a permit that is valid at this moment, which is that of sending.
+    fn token(&self, permit: Option<&OrderPermit>) -> PortResult<FencingToken> {
+        permit
+            .and_then(|permit| permit.token_at(self.clock.now()))
+            .ok_or_else(|| PortError::Refused("the lease is not held".to_owned()))
+    }
+
+    /// Waits until the order has landed or never will, and returns whether the engine then holds
+    /// the adapter.
+    async fn read_back(&self, adapter: &AdapterRef, landed: Instant) -> bool {
+        sleep_until(landed).await;
+        loop {
+            match self.port.inventory().await {
+                Ok(inventory) => return inventory.adapters.contains(adapter),
+                Err(_) => sleep(READ_BACK_PAUSE).await,
+            }
+        }
+    }
+}
+
+fn given_up() -> PortError {
+    PortError::Uncertain("no answer within the order timeout".to_owned())
+}
--- a/crates/amaranth-agent/src/engine_traffic.rs
+++ b/crates/amaranth-agent/src/engine_traffic.rs
@@ -4,9 +4,11 @@
 use std::time::Duration;
 
 use amaranth_core::errors::{Error, ErrorKind};
-use amaranth_core::request::{AnswerEnd, CompletionRequest, ModelTarget};
-use amaranth_ports::engine::{EngineCall, EngineInventory, EnginePort, engine_body};
+use amaranth_core::request::{CompletionRequest, ModelTarget};
+use amaranth_core::trace::TraceContext;
+use amaranth_ports::engine::{EngineAnswer, EngineCall, EngineInventory, EnginePort, engine_body};
 use amaranth_ports::{PortError, PortResult};
+use amaranth_telemetry::spans::HopSpan;
 use bytes::Bytes;
 use futures::StreamExt;
 use serde::Deserialize;
@@ -20,6 +22,9 @@
 /// Time that one cancel order may take.
 const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Times that a broken stream is resumed before its request is run again.
+const RESUME_LIMIT: u32 = 2;
+
 /// A request on its way to the engine.
 pub struct EngineDispatch {
     /// The engine.
@@ -32,58 +37,65 @@
     pub inventory: Option<Arc<EngineInventory>>,
     /// When the caller gives up.
     pub deadline: Instant,
+    /// The span that is passed on to the engine.
+    pub trace: TraceContext,
 }
 
 /// How a dispatch ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum DispatchEnd {
-    /// The answer is whole.
-    Complete,
-    /// The answer broke off.
-    Failed,
-    /// The engine does not hold the adapter: nothing was sent.
-    NotResident,
-    /// Nobody waits for the answer.
-    Cancelled,
+    /// The answer has its end.
+    Settled,
+    /// The engine broke off or does not hold the adapter. The request may be run again; if it is
+    /// not, its answer ends with this error.
+    Interrupted(Error),
+}
+
+/// Why a stream ended before its answer was whole.
+enum StreamFault {
+    /// The engine broke off, so that another run may yield the whole answer.
+    Broken(Error),
+    /// No other run would do better.
+    Final(Error),
 }
 
 /// Runs a request on its engine and fills the answer's slot.
-pub async fn run(dispatch: EngineDispatch) -> DispatchEnd {
-    let slot = dispatch.slot.clone();
+pub async fn run(mut dispatch: EngineDispatch) -> DispatchEnd {
+    let mut span = HopSpan::start("agent.complete", dispatch.request.trace);
+    span.set("endpoint", &dispatch.request.endpoint);
+    span.set("target", &dispatch.request.target);
+    dispatch.trace = span.context();
     if !holds(dispatch.inventory.as_deref(), &dispatch.request.target) {
         let target = &dispatch.request.target;
         let endpoint = &dispatch.request.endpoint;
-        slot.fail(Error::new(
+        return DispatchEnd::Interrupted(Error::new(
             ErrorKind::LoadFailed,
             format!("endpoint {endpoint} does not hold {target}"),
         ));
-        return DispatchEnd::NotResident;
     }
-    let outcome = tokio::select! {
-        outcome = stream(&dispatch) => outcome,
-        () = slot.cancelled().cancelled() => Err(Error::new(
+    let slot = &dispatch.slot;
+    slot.rerun();
+    let streamed = tokio::select! {
+        streamed = stream(&dispatch) => streamed,
+        () = slot.cancelled().cancelled() => Err(StreamFault::Final(Error::new(
             ErrorKind::Cancelled,
             "nobody waits for the answer",
-        )),
-        () = sleep_until(dispatch.deadline) => Err(Error::new(
+        ))),
+        () = sleep_until(dispatch.deadline) => Err(StreamFault::Final(Error::new(
             ErrorKind::DeadlineAfterStart,
             "the deadline passed while the engine generated",
-        )),
+        ))),
     };
-    match outcome {
-        Ok(()) => {
-            slot.finish(AnswerEnd::Complete);
-            DispatchEnd::Complete
+    match streamed {
+        Ok(()) => DispatchEnd::Settled,
+        Err(StreamFault::Broken(error)) => {
+            cancel(&dispatch).await;
+            DispatchEnd::Interrupted(error)
         }
-        Err(error) => {
-            let cancelled = error.kind == ErrorKind::Cancelled;
+        Err(StreamFault::Final(error)) => {
             slot.fail(error);
             cancel(&dispatch).await;
-            if cancelled {
-                DispatchEnd::Cancelled
-            } else {
-                DispatchEnd::Failed
-            }
+            DispatchEnd::Settled
         }
     }
 }
@@ -96,26 +108,64 @@
     })
 }
 
-async fn stream(dispatch: &EngineDispatch) -> Result<(), Error> {
+async fn stream(dispatch: &EngineDispatch) -> Result<(), StreamFault> {
     let request = &dispatch.request;
     let call = EngineCall {
         id: request.id,
         path: request.api.path(),
-        body: engine_body(request).map_err(endpoint_error)?,
+        body: engine_body(request).map_err(|error| StreamFault::Final(refusal(error)))?,
         priority: request.priority,
-        trace: request.trace,
+        trace: dispatch.trace,
     };
     let target = request.target.to_string();
-    let mut answer = dispatch.port.complete(call).await.map_err(endpoint_error)?;
-    check_identity(&target, &answer.served_model)?;
-    while let Some(event) = answer.events.next().await {
-        let data = event.map_err(endpoint_error)?;
-        check_echo(&target, &data)?;
-        dispatch.slot.push(data).await;
+    let started = dispatch.port.complete(call).await;
+    let mut answer = started.map_err(start_fault)?;
+    let mut next = 0;
+    for attempt in 0.. {
+        match pass_on(dispatch, &target, answer, &mut next).await {
+            Err(StreamFault::Broken(error)) if attempt < RESUME_LIMIT => {
+                // The engine may still run the request: then only the connection broke.
+                answer = match dispatch.port.resume(request.id, next).await {
+                    Ok(resumed) => resumed,
+                    Err(_) => return Err(StreamFault::Broken(error)),
+                };
+            }
+            ended => return ended,
+        }
     }
     Ok(())
 }
 
+/// Checks and passes on what the engine sends, counting the chunks in `next`.
+async fn pass_on(
+    dispatch: &EngineDispatch,
+    target: &str,
+    mut answer: EngineAnswer,
+    next: &mut u64,
+) -> Result<(), StreamFault> {
+    check_identity(target, &answer.served_model).map_err(StreamFault::Final)?;
+    while let Some(event) = answer.events.next().await {
+        let data = event.map_err(|error| {
+            StreamFault::Broken(Error::new(ErrorKind::EndpointFailed, error.to_string()))
+        })?;
+        check_echo(target, &data).map_err(StreamFault::Final)?;
+        dispatch.slot.push(data).await.map_err(StreamFault::Final)?;
+        *next += 1;
+    }
+    dispatch.slot.complete().map_err(StreamFault::Final)
+}
+
+/// Returns what a completion that did not start means for its request.
+fn start_fault(error: PortError) -> StreamFault {
+    match error {
+        // An engine that refuses may have lost the adapter since it was read.
+        PortError::Refused(_) | PortError::Unreachable(_) | PortError::Uncertain(_) => {
+            StreamFault::Broken(refusal(error))
+        }
+        PortError::Limited(_) | PortError::Fenced(_) => StreamFault::Final(refusal(error)),
+    }
+}
+
 /// The member of a chunk that names what served it.
 #[derive(Deserialize)]
 struct ChunkEcho<'a> {
@@ -151,7 +201,7 @@
 }
 
 /// Returns the error that a caller gets for a failed call of an engine.
-fn endpoint_error(error: PortError) -> Error {
+fn refusal(error: PortError) -> Error {
     let message = error.to_string();
     match error {
         PortError::Unreachable(_) => Error::new(ErrorKind::EndpointUnreachable, message),
--- a/crates/amaranth-agent/src/lease_keeper.rs
+++ b/crates/amaranth-agent/src/lease_keeper.rs
@@ -1,33 +1,251 @@
-//! Holds the right to give the agent's endpoints orders.
+//! Carries out what the lease keeper decides: reads the log, appends records, publishes permits.
 
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_core::ids::{FencingToken, ProcessId};
-use amaranth_ports::log::{LogPort, LogStream};
-use bytes::Bytes;
-use tokio::sync::watch;
-use tokio::time::sleep;
+use amaranth_control::lease::keeper::{LeaseCommand, LeaseEvent, LeaseKeeper, LeaseOptions};
+use amaranth_control::lease::record::{LeaseHolder, LeaseRecord};
+use amaranth_control::lease::stage::OrderPermit;
+use amaranth_core::ids::EndpointId;
+use amaranth_core::time::Timestamp;
+use amaranth_ports::log::{LogPage, LogPort, LogStream};
+use arc_swap::ArcSwap;
+use tokio::sync::{Notify, mpsc};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
-/// Time between two attempts to append a lease record.
+use crate::clock::AgentClock;
+use crate::decision_log::DecisionLog;
+use crate::settings::AgentLimits;
+use crate::task_group::TaskGroup;
+
+/// Records that one read asks for.
+const PAGE_RECORDS: usize = 512;
+
+/// Time that one read waits for a record.
+const READ_WAIT: Duration = Duration::from_secs(5);
+
+/// Time between two reads while the log can't be reached.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
-/// Appends a lease record and publishes its offset as the fencing token.
-pub async fn run(
-    log: Arc<dyn LogPort>,
-    process: ProcessId,
-    lease: watch::Sender<Option<FencingToken>>,
-) {
-    loop {
-        let record = Bytes::from(process.to_string());
-        match log.append(LogStream::Leases, record).await {
-            Ok(offset) => {
-                log::info!("event=lease_taken token={offset}");
-                lease.send_replace(Some(FencingToken::from(offset)));
-                return;
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Time after which a record that was not read back is appended anew.
+const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Events that wait for the keeper before their senders are held back.
+const EVENT_QUEUE: usize = 256;
+
+/// The leave to order each endpoint, as the keeper decided last.
+#[derive(Debug, Default)]
+pub struct LeaseBoard {
+    permits: ArcSwap<HashMap<EndpointId, OrderPermit>>,
+    changed: Notify,
+}
+
+impl LeaseBoard {
+    /// Returns leave to send one order to `endpoint`, if its lease is held.
+    pub fn permit(&self, endpoint: &EndpointId) -> Option<OrderPermit> {
+        self.permits.load().get(endpoint).cloned()
+    }
+
+    /// Returns whether the lease on `endpoint` is held.
+    pub fn holds(&self, endpoint: &EndpointId) -> bool {
+        self.permits.load().contains_key(endpoint)
+    }
+
+    /// Returns when a lease was gained or lost.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+}
+
+/// The way to the running keeper.
+#[derive(Debug, Clone)]
+pub struct LeaseHandle {
+    events: mpsc::Sender<LeaseEvent>,
+    board: Arc<LeaseBoard>,
+}
+
+impl LeaseHandle {
+    /// Returns the permits.
+    pub const fn board(&self) -> &Arc<LeaseBoard> {
+        &self.board
+    }
+
+    /// Tells the keeper that the engine refused a token, or what kind of engine it is.
+    pub async fn send(&self, event: LeaseEvent) {
+        // A closed queue means that the agent is ending, and then nobody waits for the event.
+        let _ = self.events.send(event).await;
+    }
+}
+
+/// What the keeper's task works with.
+pub struct LeaseTask {
+    /// The log.
+    pub log: Arc<dyn LogPort>,
+    /// The clock of the permits.
+    pub clock: AgentClock,
+    /// Where decisions are kept.
+    pub decisions: Arc<DecisionLog>,
+    /// The tasks that read and append.
+    pub tasks: TaskGroup,
+}
+
+impl LeaseTask {
+    /// Spawns the keeper of `holder`'s leases on `endpoints`.
+    pub fn spawn(
+        self,
+        control: &TaskGroup,
+        holder: LeaseHolder,
+        endpoints: impl Iterator<Item = EndpointId>,
+        limits: &AgentLimits,
+    ) -> LeaseHandle {
+        let (sender, events) = mpsc::channel(EVENT_QUEUE);
+        let board = Arc::new(LeaseBoard::default());
+        let options = LeaseOptions {
+            term: limits.lease_term,
+            renew_interval: limits.lease_renewal,
+            append_timeout: APPEND_TIMEOUT,
+            skew: limits.clock_skew,
+            order_timeout: limits.order_timeout,
+        };
+        let endpoints: Vec<_> = endpoints.collect();
+        let now = self.clock.now();
+        let running = RunningKeeper {
+            keeper: LeaseKeeper::open(now, options, holder, endpoints.iter().cloned()),
+            task: self,
+            endpoints,
+            board: board.clone(),
+        };
+        control.spawn(running.run(events));
+        LeaseHandle {
+            events: sender,
+            board,
+        }
+    }
+}
+
+/// The keeper and what it publishes.
+struct RunningKeeper {
+    keeper: LeaseKeeper,
+    task: LeaseTask,
+    endpoints: Vec<EndpointId>,
+    board: Arc<LeaseBoard>,
+}
+
+impl RunningKeeper {
+    async fn run(mut self, mut events: mpsc::Receiver<LeaseEvent>) {
+        let (pages, mut read) = mpsc::channel(1);
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        self.read_from(pages.clone());
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.handle(event),
+                Some(page) = read.recv() => {
+                    self.take_page(page);
+                    self.read_from(pages.clone());
+                }
+                _ = ticks.tick() => self.handle(LeaseEvent::Tick),
+            }
+        }
+    }
+
+    /// Reads the stream from the next offset on, waiting for records.
+    fn read_from(&self, pages: mpsc::Sender<LogPage>) {
+        let log = self.task.log.clone();
+        let from = self.keeper.next_offset();
+        self.task.tasks.spawn(async move {
+            let page = loop {
+                match log
+                    .read(LogStream::Leases, from, PAGE_RECORDS, READ_WAIT)
+                    .await
+                {
+                    Ok(page) => break page,
+                    Err(error) => {
+                        metrics::counter!("amaranth_agent_lease_reads_failed_total").increment(1);
+                        log::debug!("event=lease_read_failed error={:?}", error.to_string());
+                        sleep(RETRY_PAUSE).await;
+                    }
+                }
+            };
+            // The keeper ends only with the agent.
+            let _ = pages.send(page).await;
+        });
+    }
+
+    fn take_page(&mut self, page: LogPage) {
+        let decode =
+            |record: amaranth_ports::log::LogRecord| match LeaseRecord::decode(&record.data) {
+                Ok(decoded) => Some((record.offset, decoded)),
+                Err(error) => {
+                    log::warn!(
+                        "event=lease_record_skipped offset={} {error}",
+                        record.offset
+                    );
+                    None
+                }
+            };
+        self.handle(LeaseEvent::Read {
+            records: page.records.into_iter().filter_map(decode).collect(),
+            first_kept: page.first_kept,
+        });
+    }
+
+    fn handle(&mut self, event: LeaseEvent) {
+        let now = self.task.clock.now();
+        let commands = self.keeper.handle(now, event);
+        let moved = commands
+            .iter()
+            .any(|command| !matches!(command, LeaseCommand::Append(_)));
+        for command in commands {
+            self.execute(command);
+        }
+        self.publish(now);
+        if moved {
+            self.board.changed.notify_waiters();
+        }
+    }
+
+    fn execute(&self, command: LeaseCommand) {
+        match command {
+            LeaseCommand::Append(record) => self.append(&record),
+            LeaseCommand::Gained(endpoint, token) => self.task.decisions.record(format!(
+                "event=lease_gained endpoint={endpoint} token={token}"
+            )),
+            LeaseCommand::Lost(endpoint) => self
+                .task
+                .decisions
+                .record(format!("event=lease_lost endpoint={endpoint}")),
+        }
+    }
+
+    fn append(&self, record: &LeaseRecord) {
+        let log = self.task.log.clone();
+        let data = record.encode();
+        self.task.tasks.spawn(async move {
+            if let Err(error) = log.append(LogStream::Leases, data).await {
+                metrics::counter!("amaranth_agent_lease_appends_failed_total").increment(1);
+                log::warn!("event=lease_append_failed error={:?}", error.to_string());
             }
-            Err(error) => log::warn!("event=lease_refused error={:?}", error.to_string()),
+        });
+    }
+
+    fn publish(&self, now: Timestamp) {
+        let permit = |endpoint: &EndpointId| {
+            let permit = self.keeper.permit(endpoint)?;
+            Some((endpoint.clone(), permit))
+        };
+        let permits: HashMap<_, _> = self.endpoints.iter().filter_map(permit).collect();
+        for endpoint in &self.endpoints {
+            let state = f64::from(u8::from(self.keeper.in_term(now, endpoint)));
+            metrics::gauge!("amaranth_agent_lease_held", "endpoint" => endpoint.to_string())
+                .set(state);
+        }
+        if **self.board.permits.load() != permits {
+            self.board.permits.store(Arc::new(permits));
         }
-        sleep(RETRY_PAUSE).await;
     }
 }
--- a/crates/amaranth-agent/src/lib.rs
+++ b/crates/amaranth-agent/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod control_thread;
 pub mod decision_log;
 pub mod engine_control;
+pub mod engine_orders;
 pub mod engine_traffic;
 pub mod entry_directory;
 pub mod lease_keeper;
--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
+use amaranth_control::lease::record::LeaseHolder;
 use amaranth_core::ids::{EndpointId, Incarnation};
 use amaranth_core::membership::{EndpointOffer, ProcessIdentity};
 use amaranth_telemetry::admin::{self, AdminHandle, ReadyFlag};
@@ -25,7 +26,7 @@
 use crate::decision_log::DecisionLog;
 use crate::engine_control::{self, EngineContext};
 use crate::entry_directory::EntryDirectory;
-use crate::lease_keeper;
+use crate::lease_keeper::LeaseTask;
 use crate::load_permits::LoadPermits;
 use crate::ports::AgentPorts;
 use crate::server::{AgentCore, AgentServer, ServiceEndpoint};
@@ -216,19 +217,26 @@
     ));
     let changed = Arc::new(Notify::new());
     let decisions = Arc::new(DecisionLog::default());
-    let (lease, held) = watch::channel(None);
-    tasks.spawn(lease_keeper::run(
-        ports.log.clone(),
-        identity.process.clone(),
-        lease,
-    ));
+    let clock = AgentClock::start();
+    let holder = LeaseHolder {
+        process: identity.process.clone(),
+        incarnation: identity.incarnation,
+        address: identity.address,
+    };
+    let keeper = LeaseTask {
+        log: ports.log.clone(),
+        clock,
+        decisions: decisions.clone(),
+        tasks: tasks.clone(),
+    };
+    let lease = keeper.spawn(control, holder, ports.engines.keys().cloned(), &limits);
     let context = Arc::new(EngineContext {
-        clock: AgentClock::start(),
+        clock,
         decisions: decisions.clone(),
         permits: Arc::new(LoadPermits::open(entries.clone())),
         changed: changed.clone(),
         traffic: tasks.clone(),
-        lease: held,
+        lease: lease.clone(),
         limits: limits.clone(),
     });
     let engines = ports.engines.iter().map(|(endpoint, port)| {
@@ -239,13 +247,14 @@
     AgentCore {
         engines: engines.collect(),
         services: open_services(settings, ports),
-        answers: AnswerStore::open(limits.answer_buffer.as_usize(), limits.unread_window),
+        answers: AnswerStore::open(&limits),
         desk: Arc::new(ServiceDesk::open(
             identity.incarnation,
             limits.claim_window,
             tasks.clone(),
         )),
         entries,
+        lease,
         decisions,
         changed,
         revision: HeardRevision::default(),
--- a/crates/amaranth-agent/src/server.rs
+++ b/crates/amaranth-agent/src/server.rs
@@ -23,6 +23,7 @@
 use crate::decision_log::DecisionLog;
 use crate::engine_control::{EngineEvent, EngineHandle};
 use crate::entry_directory::EntryDirectory;
+use crate::lease_keeper::LeaseHandle;
 use crate::service_desk::ServiceDesk;
 use crate::settings::AgentLimits;
 
@@ -52,6 +53,8 @@
     pub answers: AnswerStore,
     /// Calls of plain services.
     pub desk: Arc<ServiceDesk>,
+    /// The leases.
+    pub lease: LeaseHandle,
     /// The entries.
     pub entries: Arc<EntryDirectory>,
     /// Recent decisions.
@@ -174,26 +177,27 @@
         wait: Duration,
     ) -> Result<AnswerBatch> {
         let id = request.id;
-        if let Ok(slot) = self.core.answers.slot(id) {
-            return Ok(slot.read(Sequence(0), wait).await);
+        let known = self.core.answers.slot(id).ok();
+        if let Some(slot) = known.filter(|slot| *slot.endpoint() == request.endpoint) {
+            return slot.read(Sequence(0), wait).await;
         }
         self.core.check_admission()?;
-        let engine = self.core.engine(&request.endpoint)?;
-        let (slot, created) = self.core.answers.open_slot(id, engine);
-        if created {
-            let event = EngineEvent::Arrived(Box::new(request), slot.clone());
+        let endpoint = request.endpoint.clone();
+        let engine = self.core.engine(&endpoint)?;
+        if let Some(slot) = self.core.answers.open_slot(id, &endpoint, engine).await? {
+            let event = EngineEvent::Arrived(Box::new(request), slot);
             engine.send(event).await;
         }
-        Ok(slot.read(Sequence(0), wait).await)
+        self.core.answers.slot(id)?.read(Sequence(0), wait).await
     }
 
     async fn read_answer(self, _: Context, read: AnswerRead) -> Result<AnswerBatch> {
         let slot = self.core.answers.slot(read.id)?;
-        Ok(slot.read(read.from, read.wait).await)
+        slot.read(read.from, read.wait).await
     }
 
-    async fn cancel_answer(self, _: Context, id: RequestId) -> Result<()> {
-        self.core.answers.cancel(id).await;
+    async fn cancel_answer(self, _: Context, id: RequestId, endpoint: EndpointId) -> Result<()> {
+        self.core.answers.cancel(id, &endpoint).await;
         Ok(())
     }
 
--- a/crates/amaranth-agent/src/settings.rs
+++ b/crates/amaranth-agent/src/settings.rs
@@ -85,6 +85,8 @@
 pub struct AgentLimits {
     /// Requests that wait for one engine at once.
     pub queue: usize,
+    /// Answers that are running or unread at once.
+    pub answers: usize,
     /// Unread bytes of one answer at which its engine stream is held back.
     pub answer_buffer: ByteSize,
     /// Time without a read after which an answer is cancelled and forgotten.
@@ -102,6 +104,15 @@
     /// Time between two reads of an engine's inventory.
     #[serde(with = "humantime_serde")]
     pub inventory_interval: Duration,
+    /// How long a lease on the endpoints lasts unless it is renewed.
+    #[serde(with = "humantime_serde")]
+    pub lease_term: Duration,
+    /// Time between two renewals of the leases.
+    #[serde(with = "humantime_serde")]
+    pub lease_renewal: Duration,
+    /// Most that two VMs' clocks drift apart within one lease term.
+    #[serde(with = "humantime_serde")]
+    pub clock_skew: Duration,
     /// Time after which the answer to an order is given up.
     #[serde(with = "humantime_serde")]
     pub order_timeout: Duration,
@@ -111,12 +122,16 @@
     fn default() -> Self {
         Self {
             queue: 1_024,
-            answer_buffer: ByteSize(256 << 10),
+            answers: 2_048,
+            answer_buffer: ByteSize(64 << 10),
             unread_window: Duration::from_secs(15),
             claim_window: Duration::from_secs(600),
             announce_interval: Duration::from_secs(1),
             entry_timeout: Duration::from_secs(2),
             inventory_interval: Duration::from_secs(1),
+            lease_term: Duration::from_secs(60),
+            lease_renewal: Duration::from_secs(20),
+            clock_skew: Duration::from_secs(1),
             order_timeout: Duration::from_secs(5),
         }
     }
@@ -150,8 +165,11 @@
 impl AgentLimits {
     fn faults(&self) -> Vec<SettingFault> {
         let mut faults = Vec::new();
-        if self.queue == 0 {
-            faults.push(SettingFault::new("limits.queue", 0, "1 or more"));
+        for (name, count) in [("queue", self.queue), ("answers", self.answers)] {
+            if count == 0 {
+                let key = format!("limits.{name}");
+                faults.push(SettingFault::new(key, 0, "1 or more"));
+            }
         }
         if self.answer_buffer == ByteSize(0) {
             faults.push(SettingFault::new(
@@ -166,6 +184,7 @@
             ("announce_interval", self.announce_interval),
             ("entry_timeout", self.entry_timeout),
             ("inventory_interval", self.inventory_interval),
+            ("lease_renewal", self.lease_renewal),
             ("order_timeout", self.order_timeout),
         ];
         let zeros = durations.iter().filter(|(_, duration)| duration.is_zero());
--- a/crates/amaranth-control/src/answer_buffer.rs
+++ b/crates/amaranth-control/src/answer_buffer.rs
@@ -2,19 +2,33 @@
 
 use std::collections::VecDeque;
 
+use amaranth_core::digest::hash64;
+use amaranth_core::errors::{Error, ErrorKind, Result, not_found};
 use amaranth_core::ids::{RequestId, Sequence};
 use amaranth_core::request::{AnswerBatch, AnswerChunk, AnswerEnd};
 use bytes::Bytes;
 
+/// The seed of the digests by which a rerun is compared with the first run.
+const CHUNK_SEED: u64 = 0;
+
 /// Holds an answer between its engine and its reader.
 ///
 /// A chunk is dropped when a read that starts behind it acknowledges it. The writer stops
 /// while [`AnswerBuffer::is_full`], so a slow reader bounds the memory.
+///
+/// When the engine's stream breaks, the request can be run again: the buffer then compares the
+/// chunks that a reader may have seen with those of the first run, and takes only new ones. A
+/// rerun that differs is refused, so that a reader gets one run's bytes or an error.
 #[derive(Debug, Clone)]
 pub struct AnswerBuffer {
     id: RequestId,
     chunks: VecDeque<AnswerChunk>,
-    next: Sequence,
+    /// One digest for each chunk that was produced, whether or not it is still held.
+    digests: Vec<u64>,
+    /// Chunks of the present run that were compared with the digests.
+    compared: usize,
+    /// Chunks that were handed to a reader at least once.
+    handed_out: usize,
     held_bytes: usize,
     limit_bytes: usize,
     end: Option<AnswerEnd>,
@@ -26,7 +40,9 @@
         Self {
             id,
             chunks: VecDeque::new(),
-            next: Sequence(0),
+            digests: Vec::new(),
+            compared: 0,
+            handed_out: 0,
             held_bytes: 0,
             limit_bytes,
             end: None,
@@ -38,22 +54,75 @@
         self.held_bytes >= self.limit_bytes
     }
 
+    /// Returns the bytes that are held.
+    pub const fn held_bytes(&self) -> usize {
+        self.held_bytes
+    }
+
     /// Returns whether the answer has ended.
     pub const fn is_ended(&self) -> bool {
         self.end.is_some()
     }
 
-    /// Appends the next chunk. An ended answer takes none.
-    pub fn push(&mut self, data: Bytes) {
+    /// Returns how the answer ended.
+    pub const fn end(&self) -> Option<&AnswerEnd> {
+        self.end.as_ref()
+    }
+
+    /// Returns the sequence of the next new chunk.
+    pub const fn next_sequence(&self) -> Sequence {
+        Sequence(self.digests.len() as u64)
+    }
+
+    /// Appends the next chunk, or compares it during a rerun. An ended answer takes none.
+    ///
+    /// # Errors
+    ///
+    /// Returns `EndpointFailed` when a rerun differs from what a reader may have seen.
+    pub fn push(&mut self, data: Bytes) -> Result<()> {
         if self.is_ended() {
-            return;
+            return Ok(());
+        }
+        let digest = hash64(CHUNK_SEED, &data);
+        if let Some(expected) = self.digests.get(self.compared) {
+            if *expected != digest {
+                return Err(self.diverged());
+            }
+            self.compared += 1;
+            return Ok(());
         }
+        let sequence = self.next_sequence();
+        self.digests.push(digest);
+        self.compared = self.digests.len();
         self.held_bytes += data.len();
-        self.chunks.push_back(AnswerChunk {
-            sequence: self.next,
-            data,
-        });
-        self.next = self.next.next();
+        self.chunks.push_back(AnswerChunk { sequence, data });
+        Ok(())
+    }
+
+    /// Prepares for the chunks of another run of the same request.
+    ///
+    /// Chunks that no reader was handed are forgotten: they need not come again.
+    pub fn rerun(&mut self) {
+        while self.digests.len() > self.handed_out {
+            self.digests.pop();
+            if let Some(chunk) = self.chunks.pop_back() {
+                self.held_bytes -= chunk.data.len();
+            }
+        }
+        self.compared = 0;
+    }
+
+    /// Ends the answer as whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns `EndpointFailed` when a rerun ended before what a reader may have seen.
+    pub fn complete(&mut self) -> Result<()> {
+        if self.compared < self.digests.len() {
+            return Err(self.diverged());
+        }
+        self.finish(AnswerEnd::Complete);
+        Ok(())
     }
 
     /// Ends the answer. The first end stands.
@@ -63,22 +132,43 @@
 
     /// Acknowledges every chunk before `from` and returns those from it on.
     ///
-    /// Returns nothing when there is neither a chunk nor the end to report, or when `from` was
-    /// acknowledged before and is gone.
-    pub fn read(&mut self, from: Sequence) -> Option<AnswerBatch> {
-        self.acknowledge(from);
+    /// Returns nothing when there is neither a chunk nor the end to report.
+    ///
+    /// # Errors
+    ///
+    /// Returns `NotFound` when the chunk at `from` was acknowledged before and is gone, and
+    /// `InvalidRequest` when the answer has not come that far.
+    pub fn read(&mut self, from: Sequence) -> Result<Option<AnswerBatch>> {
         let first = self
             .chunks
             .front()
-            .map_or(self.next, |chunk| chunk.sequence);
-        if first != from || (self.chunks.is_empty() && self.end.is_none()) {
-            return None;
+            .map_or(self.next_sequence(), |chunk| chunk.sequence);
+        if from < first {
+            let id = self.id;
+            return Err(not_found(format!(
+                "chunk {from} of answer {id} was acknowledged and is gone"
+            )));
         }
-        Some(AnswerBatch {
+        if from > self.next_sequence() {
+            return Err(Error::new(
+                ErrorKind::InvalidRequest,
+                format!(
+                    "answer {} has {} chunks and was read from chunk {from}",
+                    self.id,
+                    self.next_sequence()
+                ),
+            ));
+        }
+        self.acknowledge(from);
+        if self.chunks.is_empty() && self.end.is_none() {
+            return Ok(None);
+        }
+        self.handed_out = self.digests.len();
+        Ok(Some(AnswerBatch {
             id: self.id,
             chunks: self.chunks.iter().cloned().collect(),
             end: self.end.clone(),
-        })
+        }))
     }
 
     fn acknowledge(&mut self, from: Sequence) {
@@ -89,4 +179,14 @@
             self.chunks.pop_front();
         }
     }
+
+    fn diverged(&self) -> Error {
+        Error::new(
+            ErrorKind::EndpointFailed,
+            format!(
+                "the engine broke off and its second run differs from chunk {} on",
+                self.compared
+            ),
+        )
+    }
 }
--- a/crates/amaranth-control/src/pins.rs
+++ b/crates/amaranth-control/src/pins.rs
@@ -93,8 +93,8 @@
 }
 
 impl Adapter<Evicting> {
-    /// Notes that the unload failed, so that the adapter may still be resident.
-    pub fn keep(self) -> Adapter<Idle> {
+    /// Notes that the unload ended, in whatever way.
+    pub fn end(self) -> Adapter<Idle> {
         Adapter::open(self.adapter)
     }
 }
@@ -176,8 +176,13 @@
 
     /// Notes that the unload of `adapter` ended, in whatever way.
     pub fn unload_ended(&mut self, adapter: &AdapterRef) {
-        if let Some(AnyAdapter::Evicting(_)) = self.adapters.get(adapter) {
-            self.adapters.remove(adapter);
+        match self.adapters.remove(adapter) {
+            // An idle adapter has no row, so what `end` returns is not kept.
+            Some(AnyAdapter::Evicting(evicting)) => drop(evicting.end()),
+            Some(pinned) => {
+                self.adapters.insert(adapter.clone(), pinned);
+            }
+            None => {}
         }
     }
 }
--- a/crates/amaranth-control/tests/lease_world/mod.rs
+++ b/crates/amaranth-control/tests/lease_world/mod.rs
@@ -109,11 +109,11 @@
             landed: Vec::new(),
             lives: 0,
         };
-        for index in 0..CLOCK_RATES.len() {
+        for (index, rate) in CLOCK_RATES.into_iter().enumerate() {
             let keeper = world.start(index, 0, 1);
             world.members.push(Member {
                 keeper,
-                rate: CLOCK_RATES[index],
+                rate,
                 order: None,
                 paused: false,
                 left: false,
--- a/crates/amaranth-entry/src/answer_reader.rs
+++ b/crates/amaranth-entry/src/answer_reader.rs
@@ -213,14 +213,19 @@
 
     /// Tells the agent that nobody waits for the answer.
     fn cancel(&self) {
+        // An attached reader leaves the answer to the one that opened it.
+        let AnswerSource::Routed { request, .. } = &self.source else {
+            return;
+        };
         if !self.opened {
             return;
         }
+        let endpoint = request.endpoint.clone();
         let (link, id) = (Arc::clone(&self.link), self.id);
         let timeout = self.state.settings.peers.silence;
         self.state.traffic.spawn(async move {
             let cancelling = link.call(timeout, |client, context| async move {
-                client.cancel_answer(context, id).await
+                client.cancel_answer(context, id, endpoint).await
             });
             if let Err(error) = cancelling.await {
                 log::debug!("event=cancel_failed request={id} error={error:?}");
--- a/crates/amaranth-entry/tests/entry/support/fake_agent.rs
+++ b/crates/amaranth-entry/tests/entry/support/fake_agent.rs
@@ -7,7 +7,7 @@
 
 use amaranth_control::answer_buffer::AnswerBuffer;
 use amaranth_core::errors::{Result, not_found};
-use amaranth_core::ids::{Incarnation, RequestId};
+use amaranth_core::ids::{EndpointId, Incarnation, RequestId};
 use amaranth_core::membership::{
     AgentAnnouncement, EndpointLoad, EndpointOffer, EndpointReport, ProcessIdentity,
 };
@@ -56,7 +56,9 @@
     fn produce(&mut self, count: usize) {
         let end = (self.produced + count).min(self.script.chunks.len());
         for chunk in &self.script.chunks[self.produced..end] {
-            self.buffer.push(Bytes::from(chunk.clone()));
+            self.buffer
+                .push(Bytes::from(chunk.clone()))
+                .expect("a first run is compared with nothing");
         }
         self.produced = end;
         if end == self.script.chunks.len() {
@@ -210,7 +212,7 @@
                 .get_mut(&read.id)
                 .ok_or_else(|| not_found("no such answer"))?;
             running.produce(make_ready);
-            running.buffer.read(read.from)
+            running.buffer.read(read.from)?
         };
         if let Some(batch) = batch {
             return Ok(batch);
@@ -256,7 +258,12 @@
         self.read(read, 1).await
     }
 
-    async fn cancel_answer(self, _context: Context, id: RequestId) -> Result<()> {
+    async fn cancel_answer(
+        self,
+        _context: Context,
+        id: RequestId,
+        _endpoint: EndpointId,
+    ) -> Result<()> {
         self.books.lock().expect("not poisoned").cancelled.push(id);
         Ok(())
     }
--- a/crates/amaranth-wire/src/agent.rs
+++ b/crates/amaranth-wire/src/agent.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranth_core::Result;
-use amaranth_core::ids::{ConfigRevision, RequestId, Sequence};
+use amaranth_core::ids::{ConfigRevision, EndpointId, RequestId, Sequence};
 use amaranth_core::membership::{EndpointReport, ProcessIdentity};
 use amaranth_core::request::{
     AnswerBatch, CompletionRequest, ServiceAnswer, ServiceClaim, ServiceRequest,
@@ -64,8 +64,10 @@
     /// Returns chunks of an answer, and acknowledges earlier ones.
     async fn read_answer(read: AnswerRead) -> Result<AnswerBatch>;
 
-    /// Stops an answer that nobody waits for.
-    async fn cancel_answer(id: RequestId) -> Result<()>;
+    /// Stops an answer from `endpoint` that nobody waits for.
+    ///
+    /// An answer of the same request from another endpoint goes on: its reader has turned to it.
+    async fn cancel_answer(id: RequestId, endpoint: EndpointId) -> Result<()>;
 
     /// Calls a plain service. A call with a claim runs at most once.
     ///
