--- a/crates/amaranth-entry/src/control_thread.rs
+++ b/crates/amaranth-entry/src/control_thread.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use amaranth_core::membership::AgentAnnouncement;
-use amaranth_ports::log::LogPort;
+use amaranth_follow::PreparedFollower;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
@@ -39,8 +39,8 @@
     pub claims: ClaimTask,
     /// What the claim desk is told.
     pub claim_events: mpsc::Receiver<ClaimTaskEvent>,
-    /// The platform's log.
-    pub log: Arc<dyn LogPort>,
+    /// The follower of the configuration.
+    pub follower: PreparedFollower,
     /// Cancelled when the process ends.
     pub ended: CancellationToken,
 }
@@ -53,10 +53,10 @@
         events,
         claims,
         claim_events,
-        log,
+        follower,
         ended,
     } = parts;
-    let configuration = config_tail::run(Arc::clone(&state), log);
+    let configuration = config_tail::run(Arc::clone(&state), follower);
     tokio::select! {
         () = keep_directory(state, directory, events) => {}
         () = configuration => {}
--- a/crates/amaranth-entry/src/entry_state.rs
+++ b/crates/amaranth-entry/src/entry_state.rs
@@ -6,6 +6,7 @@
 use amaranth_core::errors::{Error, ErrorKind, Result};
 use amaranth_core::membership::ProcessIdentity;
 use amaranth_core::time::MonotonicClock;
+use amaranth_follow::ConfigView;
 use tokio::runtime::Handle;
 use tokio::sync::Notify;
 
@@ -28,6 +29,8 @@
     pub directory: CurrentDirectory,
     /// The configuration.
     pub catalogue: CurrentCatalogue,
+    /// The configuration's source, from which other entries start.
+    pub configuration: ConfigView,
     /// The way to the claim desk.
     pub claims: ClaimClient,
     /// Recent decisions.
--- a/crates/amaranth-entry/src/peer_service.rs
+++ b/crates/amaranth-entry/src/peer_service.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use amaranth_core::Result;
-use amaranth_core::errors::not_found;
 use amaranth_core::ids::{AdapterRef, ConfigRevision, EndpointId};
 use amaranth_core::membership::AgentAnnouncement;
 use amaranth_core::time::Timestamp;
@@ -110,10 +109,13 @@
     async fn snapshot_part(
         self,
         _context: Context,
-        _revision: Option<ConfigRevision>,
-        _index: u32,
+        revision: Option<ConfigRevision>,
+        index: u32,
     ) -> Result<SnapshotPart> {
-        Err(not_found("this entry holds no configuration snapshot"))
+        self.state
+            .configuration
+            .snapshot_part(revision, index)
+            .await
     }
 
     async fn status(self, _context: Context) -> EntryStatus {
--- a/crates/amaranth-entry/src/process.rs
+++ b/crates/amaranth-entry/src/process.rs
@@ -26,6 +26,7 @@
 
 use crate::claim_client::{CLAIM_QUEUE, ClaimClient};
 use crate::claim_task::ClaimTask;
+use crate::config_tail;
 use crate::control_thread::{self, CONTROL_QUEUE, ControlParts};
 use crate::decision_log::DecisionLog;
 use crate::directory::DirectoryOwner;
@@ -254,11 +255,13 @@
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
     };
+    let follower = config_tail::open(&identity, &settings.entries, Arc::clone(&ports.log));
     let state = Arc::new(EntryState {
         identity,
         clock: MonotonicClock::start(),
         directory: directory.published(),
-        catalogue: Arc::default(),
+        catalogue: follower.view().cell(),
+        configuration: follower.view(),
         claims: ClaimClient::open(claim_sender.clone(), settled),
         decisions: DecisionLog::default(),
         readiness,
@@ -280,7 +283,7 @@
             settled_sender,
         ),
         claim_events,
-        log: ports.log,
+        follower,
         ended: ended.clone(),
     };
     run_control(control).map_err(start_failed)?;
--- a/crates/amaranth-follow/src/bootstrap.rs
+++ b/crates/amaranth-follow/src/bootstrap.rs
@@ -11,10 +11,14 @@
 use amaranth_wire::entry::{EntryRpcClient, SnapshotPart, connect};
 use async_trait::async_trait;
 use tarpc::context::Context;
+use tokio::task::JoinSet;
 
 /// Time that a peer has to accept a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Entries that are asked at once.
+const MAX_ASKED: usize = 4;
+
 /// Something that snapshots can be fetched from.
 #[async_trait]
 pub trait SnapshotSource: Send + Sync {
@@ -29,7 +33,9 @@
 }
 
 impl PeerSnapshots {
-    /// Opens a source that asks the entries at `addresses`.
+    /// Opens a source that asks the first few of the entries at `addresses`.
+    ///
+    /// Each process should put them in an order of its own, so that they share the work.
     pub const fn open(addresses: Vec<SocketAddr>) -> Self {
         Self { addresses }
     }
@@ -37,15 +43,19 @@
 
 #[async_trait]
 impl SnapshotSource for PeerSnapshots {
-    /// Asks every entry for its revision, and fetches from the one whose state goes furthest.
+    /// Asks several entries at once, and fetches from the one whose state goes furthest.
     async fn fetch(&self) -> Option<SnapshotState> {
+        let mut opening: JoinSet<_> = self
+            .addresses
+            .iter()
+            .take(MAX_ASKED)
+            .map(|address| open_offer(*address))
+            .collect();
         let mut offers = Vec::new();
-        for address in &self.addresses {
-            match open_offer(*address).await {
+        while let Some(Ok(opened)) = opening.join_next().await {
+            match opened {
                 Ok(offer) => offers.push(offer),
-                Err(error) => {
-                    log::info!("event=peer_snapshot_unavailable address={address} error={error:?}");
-                }
+                Err(error) => log::info!("event=peer_snapshot_unavailable error={error:?}"),
             }
         }
         offers.sort_by_key(|offer| std::cmp::Reverse(offer.first.covers));
--- a/crates/amaranth-follow/src/follower.rs
+++ b/crates/amaranth-follow/src/follower.rs
@@ -14,17 +14,16 @@
 /// Requests for parts of a snapshot that may wait at once.
 const PART_QUEUE: usize = 16;
 
-/// A running follower. It ends when it is dropped.
-#[derive(Debug)]
-pub struct ConfigFollower {
+/// A follower that does not run yet, so that its view can be handed out first.
+pub struct PreparedFollower {
     view: ConfigView,
     rank: watch::Sender<Option<u32>>,
-    task: JoinHandle<()>,
+    task: FollowTask,
 }
 
-impl ConfigFollower {
-    /// Spawns a follower of `log`'s configuration stream.
-    pub fn spawn(log: Arc<dyn LogPort>, options: FollowerOptions) -> Self {
+impl PreparedFollower {
+    /// Opens a follower of `log`'s configuration stream.
+    pub fn open(log: Arc<dyn LogPort>, options: FollowerOptions) -> Self {
         let catalogue = Arc::new(ArcSwap::default());
         let (state_sender, state) = watch::channel(FollowerState::default());
         let (parts, part_requests) = mpsc::channel(PART_QUEUE);
@@ -35,15 +34,44 @@
             part_requests,
             rank: rank_receiver,
         };
-        let task = tokio::spawn(FollowTask::open(log, options, channels).run());
         let view = ConfigView {
             catalogue,
             state,
             parts,
         };
+        let task = FollowTask::open(log, options, channels);
         Self { view, rank, task }
     }
 
+    /// Returns the configuration as the follower will keep it.
+    pub fn view(&self) -> ConfigView {
+        self.view.clone()
+    }
+
+    /// Spawns the follower on the present runtime.
+    pub fn spawn(self) -> ConfigFollower {
+        ConfigFollower {
+            view: self.view,
+            rank: self.rank,
+            task: tokio::spawn(self.task.run()),
+        }
+    }
+}
+
+/// A running follower. It ends when it is dropped.
+#[derive(Debug)]
+pub struct ConfigFollower {
+    view: ConfigView,
+    rank: watch::Sender<Option<u32>>,
+    task: JoinHandle<()>,
+}
+
+impl ConfigFollower {
+    /// Spawns a follower of `log`'s configuration stream.
+    pub fn spawn(log: Arc<dyn LogPort>, options: FollowerOptions) -> Self {
+        PreparedFollower::open(log, options).spawn()
+    }
+
     /// Returns the configuration as this follower keeps it.
     pub fn view(&self) -> ConfigView {
         self.view.clone()
--- a/crates/amaranth-follow/src/lib.rs
+++ b/crates/amaranth-follow/src/lib.rs
@@ -18,14 +18,18 @@
 //! # }
 //! ```
 //!
+//! A process that hands out the view before its control thread runs opens a
+//! [`PreparedFollower`] and spawns it there.
+//!
 //! An entry also sets [`FollowerOptions::duty`] and tells its rank among the live entries by
 //! [`ConfigFollower::set_rank`], so that snapshots get written; it answers
 //! `EntryRpc::snapshot_part` by [`ConfigView::snapshot_part`], and passes the addresses of
 //! other entries in [`FollowerOptions::peers`]. An agent passes its entries there.
 //!
-//! Metrics, without labels, so that one process shows one line each: `config_revision`,
-//! `config_lag_records`, `config_caught_up`, `config_accepted_total`, `config_refused_total`,
-//! `config_log_failures_total`, `config_snapshots_written_total`.
+//! Metrics, without labels, so that one process shows one line each:
+//! `amaranth_config_revision`, `amaranth_config_lag_records`, `amaranth_config_caught_up`,
+//! `amaranth_config_accepted_total`, `amaranth_config_refused_total`,
+//! `amaranth_config_log_failures_total`, `amaranth_config_snapshots_written_total`.
 
 mod bootstrap;
 mod follower;
@@ -37,6 +41,6 @@
 mod view;
 
 pub use bootstrap::{PeerSnapshots, SnapshotSource};
-pub use follower::ConfigFollower;
+pub use follower::{ConfigFollower, PreparedFollower};
 pub use options::FollowerOptions;
 pub use view::{ConfigView, FollowerState};
--- a/crates/amaranth-follow/src/snapshot_writer.rs
+++ b/crates/amaranth-follow/src/snapshot_writer.rs
@@ -22,7 +22,7 @@
             return false;
         }
     }
-    metrics::counter!("config_snapshots_written_total").increment(1);
+    metrics::counter!("amaranth_config_snapshots_written_total").increment(1);
     true
 }
 
--- a/crates/amaranth-follow/src/task.rs
+++ b/crates/amaranth-follow/src/task.rs
@@ -82,6 +82,7 @@
 
     /// Follows the log until the task is aborted.
     pub(crate) async fn run(mut self) {
+        self.opened = Instant::now();
         self.start_from_peers().await;
         loop {
             let read = self.read_page().await;
@@ -180,7 +181,7 @@
         let revision = self.history.revision();
         if self.channels.catalogue.load().revision() != revision {
             self.channels.catalogue.store(self.history.catalogue());
-            metrics::gauge!("config_revision").set(revision.0 as f64);
+            metrics::gauge!("amaranth_config_revision").set(revision.0 as f64);
         }
         let next = self.history.next_offset();
         let standing = self.history.standing();
@@ -198,8 +199,8 @@
     }
 
     fn publish_state(&self, state: FollowerState) {
-        metrics::gauge!("config_lag_records").set(state.lag_records as f64);
-        metrics::gauge!("config_caught_up").set(f64::from(u8::from(state.caught_up)));
+        metrics::gauge!("amaranth_config_lag_records").set(state.lag_records as f64);
+        metrics::gauge!("amaranth_config_caught_up").set(f64::from(u8::from(state.caught_up)));
         self.channels.state.send_if_modified(|known| {
             let changed = *known != state;
             if state.caught_up && !known.caught_up {
@@ -254,7 +255,7 @@
 
     /// Waits after a failed read, longer each time.
     async fn note_failure(&mut self) {
-        metrics::counter!("config_log_failures_total").increment(1);
+        metrics::counter!("amaranth_config_log_failures_total").increment(1);
         let since = *self.failing_since.get_or_insert_with(Instant::now);
         let mut state = *self.channels.state.borrow();
         state.log_failing = true;
--- a/crates/amaranth-follow/src/verdict_report.rs
+++ b/crates/amaranth-follow/src/verdict_report.rs
@@ -33,7 +33,7 @@
 }
 
 fn report_accepted(offset: LogOffset, accepted: &AcceptedChange) {
-    metrics::counter!("config_accepted_total").increment(1);
+    metrics::counter!("amaranth_config_accepted_total").increment(1);
     log::info!(
         "event=config_accepted offset={offset} revision={} change={} author={} edits={}",
         accepted.revision,
@@ -44,7 +44,7 @@
 }
 
 fn report_refused(offset: LogOffset, refused: &RefusedChange) {
-    metrics::counter!("config_refused_total").increment(1);
+    metrics::counter!("amaranth_config_refused_total").increment(1);
     log::warn!(
         "event=config_refused offset={offset} change={} author={} base={} revision={} reason={:?}",
         refused.change,
--- a/crates/amaranth-follow/src/view.rs
+++ b/crates/amaranth-follow/src/view.rs
@@ -63,6 +63,11 @@
         self.catalogue.load_full()
     }
 
+    /// Returns the cell that holds the catalogue in force, for readers of their own.
+    pub fn cell(&self) -> Arc<ArcSwap<Catalogue>> {
+        Arc::clone(&self.catalogue)
+    }
+
     /// Returns the revision in force.
     pub fn revision(&self) -> ConfigRevision {
         self.catalogue.load().revision()
