--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -92,7 +92,7 @@
         let identity = ProcessIdentity {
             process: settings.process.clone(),
             incarnation: Incarnation(rand::random()),
-            address: server.address(),
+            address: settings.advertised_address.unwrap_or(server.address()),
             data_centre: settings.data_centre.clone(),
             region: settings.region.clone(),
         };
--- a/crates/amaranth-agent/src/settings.rs
+++ b/crates/amaranth-agent/src/settings.rs
@@ -24,6 +24,9 @@
     pub region: RegionName,
     /// Where it listens for its peers.
     pub peer_address: SocketAddr,
+    /// Where its peers reach it, if that differs from where it listens.
+    #[serde(default)]
+    pub advertised_address: Option<SocketAddr>,
     /// Where it serves metrics and health.
     pub admin_address: SocketAddr,
     /// Where the platform's log listens.
--- a/crates/amaranth-lab/src/checker/evidence.rs
+++ b/crates/amaranth-lab/src/checker/evidence.rs
@@ -96,6 +96,8 @@
     pub endpoint: EndpointId,
     /// When it was told to leave.
     pub told: Duration,
+    /// When it had ended.
+    pub ended: Duration,
     /// Requests that its agent ended without finishing them.
     pub cut: u64,
 }
--- a/crates/amaranth-lab/src/commands.rs
+++ b/crates/amaranth-lab/src/commands.rs
@@ -6,6 +6,7 @@
 use amaranth_telemetry::usage_exit;
 
 use crate::demo;
+use crate::faults;
 use crate::policy;
 
 const HELP: &str = "\
@@ -15,6 +16,7 @@
 
 Commands:
   demo      Runs both deployments' shapes and checks every promise
+  faults    Runs a fleet under faults and checks every promise
   policy    Replays placement decisions against baselines
   help      Prints this help
 
@@ -39,6 +41,7 @@
             ExitCode::SUCCESS
         }
         Some("demo") => demo::run(rest),
+        Some("faults") => faults::run(rest),
         Some("policy") => policy::run(rest),
         _ => {
             eprintln!("amaranth-lab: unknown command {command:?}; see amaranth-lab help");
--- a/crates/amaranth-lab/src/fleet.rs
+++ b/crates/amaranth-lab/src/fleet.rs
@@ -2,5 +2,6 @@
 
 pub mod configuration;
 pub mod demo_fleet;
+pub mod fleet_run;
 pub mod member;
 pub mod shape;
--- a/crates/amaranth-lab/src/fleet/demo_fleet.rs
+++ b/crates/amaranth-lab/src/fleet/demo_fleet.rs
@@ -14,13 +14,14 @@
 use amaranth_ports::http_log::HttpLog;
 use amaranth_standin::engine::{EngineOptions, EngineStandin};
 use amaranth_standin::log_standin::{LogOptions, LogStandin};
+use amaranth_standin::path_standin::{PathOptions, PathStandin};
 use amaranth_standin::service_standin::{ServiceOptions, ServiceStandin};
 use amaranth_standin::store_standin::{StoreOptions, StoreStandin};
 use amaranth_standin::vm_list_standin::{VmListOptions, VmListStandin};
 use log::LevelFilter;
 
 use crate::fleet::configuration::{FIRST_VERSION, PendingChange, documents};
-use crate::fleet::member::{FleetMember, any_port};
+use crate::fleet::member::{FleetMember, any_port, free_port};
 use crate::fleet::shape::{DataCentreShape, DeploymentShape};
 
 /// Time between two looks whether the fleet is ready.
@@ -63,6 +64,8 @@
     pub engines: Vec<NamedEngine>,
     /// The instances of the plain service.
     pub services: Vec<ServiceStandin>,
+    /// The paths from entries to agents, in the order of the agents.
+    pub paths: Vec<PathStandin>,
     /// The agents: those of the engines first, then those of the service.
     pub agents: Vec<AgentMember>,
     /// The entries, one in each data centre.
@@ -111,6 +114,7 @@
             platform,
             engines,
             services,
+            paths: Vec::new(),
             agents: Vec::new(),
             entries: Vec::new(),
             catalogue,
@@ -215,11 +219,16 @@
 
     async fn spawn_agent(&mut self, index: usize, endpoint: EndpointSettings) -> Result<()> {
         let DataCentreShape { name, region } = self.shape.data_centre_of(index).clone();
+        let peer_address = free_port().map_err(start_failed)?;
+        let path = PathStandin::spawn(PathOptions::to(peer_address))
+            .await
+            .map_err(start_failed)?;
         let settings = AgentSettings {
             process: format!("agent-{}", endpoint.id).parse()?,
             data_centre: name,
             region,
-            peer_address: any_port(),
+            peer_address,
+            advertised_address: Some(path.address()),
             admin_address: any_port(),
             log_address: self.platform.log.address(),
             vm_list_address: Some(self.platform.vm_list.address()),
@@ -233,10 +242,10 @@
             .await
             .map_err(start_failed)?;
         let settings = AgentSettings {
-            peer_address: agent.peer_address(),
             admin_address: agent.admin_address(),
             ..settings
         };
+        self.paths.push(path);
         self.agents.push(FleetMember::running(settings, agent));
         Ok(())
     }
--- /dev/null
+++ b/crates/amaranth-lab/src/fleet/fleet_run.rs
@@ -0,0 +1,248 @@
+//! A fleet under load, with the events that a run can cause and the evidence that it leaves.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_agent::process::AgentProcess;
+use amaranth_core::errors::{Result, internal};
+use amaranth_core::ids::{IdempotencyKey, ProcessId};
+use amaranth_entry::process::EntryProcess;
+use tokio::task::JoinHandle;
+
+use crate::checker::evidence::{
+    AcceptedChange, CallRecord, CallResult, PlannedStop, RunEvidence, ServiceBook,
+};
+use crate::fleet::configuration::{PendingChange, documents};
+use crate::fleet::demo_fleet::DemoFleet;
+use crate::workload::evidence_sampler::EvidenceSampler;
+use crate::workload::runner::{
+    CallTarget, RunContext, RunRecords, WorkloadOptions, run as run_workload,
+};
+
+/// Time between two samples.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+
+/// An entry that was ended without warning.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct EntryKill {
+    entry: ProcessId,
+    at: Duration,
+}
+
+/// A fleet under load.
+pub struct FleetRun {
+    /// The fleet.
+    pub fleet: DemoFleet,
+    context: Arc<RunContext>,
+    sampler: EvidenceSampler,
+    evidence: RunEvidence,
+    kills: Vec<EntryKill>,
+    workload: JoinHandle<RunRecords>,
+}
+
+/// What a run leaves behind.
+pub struct FinishedRun {
+    /// The fleet, still up.
+    pub fleet: DemoFleet,
+    /// The evidence for the checker.
+    pub evidence: RunEvidence,
+    /// What callers recorded besides their calls.
+    pub records: RunRecords,
+    /// How long the run took.
+    pub elapsed: Duration,
+}
+
+impl FleetRun {
+    /// Starts the load on a fleet.
+    pub fn spawn(fleet: DemoFleet, options: WorkloadOptions) -> Self {
+        let context = Arc::new(RunContext::open(fleet.shape.clone(), call_targets(&fleet)));
+        let workload = tokio::spawn(run_workload(Arc::clone(&context), options));
+        Self {
+            sampler: EvidenceSampler::open(&fleet, context.begun),
+            fleet,
+            context,
+            evidence: RunEvidence::default(),
+            kills: Vec::new(),
+            workload,
+        }
+    }
+
+    /// Returns the time since the beginning.
+    pub fn elapsed(&self) -> Duration {
+        self.sampler.elapsed()
+    }
+
+    /// Samples the fleet until `end`, counted from the beginning.
+    pub async fn serve_until(&mut self, end: Duration) {
+        while self.elapsed() < end {
+            self.sampler.sample(&self.fleet);
+            tokio::time::sleep(SAMPLE_INTERVAL).await;
+        }
+    }
+
+    /// Makes `version` of every adapter current.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the log stays out of reach.
+    pub async fn change_configuration(&mut self, version: u64) -> Result<()> {
+        let documents = documents(&self.fleet.shape, version);
+        let change = PendingChange::build(&self.fleet.catalogue, &documents)?;
+        let revision = change.revision();
+        // An entry may route by the change before its appender hears of it.
+        let mut versions = self.context.versions.load().as_ref().clone();
+        versions.note(revision, version);
+        self.context.versions.store(Arc::new(versions));
+        self.fleet.catalogue = change.append(self.fleet.log().as_ref()).await?;
+        self.evidence.changes.push(AcceptedChange {
+            revision,
+            accepted: self.elapsed(),
+        });
+        Ok(())
+    }
+
+    /// Stops the agent of engine `index` gracefully and notes what that cut.
+    pub async fn drain_agent(&mut self, index: usize) {
+        let Some(agent) = self.fleet.agents[index].take() else {
+            return;
+        };
+        let told = self.elapsed();
+        let draining = tokio::spawn(agent.drain());
+        while !draining.is_finished() {
+            self.sampler.sample(&self.fleet);
+            tokio::time::sleep(SAMPLE_INTERVAL).await;
+        }
+        let engine = &self.fleet.engines[index];
+        let counters = engine.engine.counters();
+        self.evidence.stops.push(PlannedStop {
+            endpoint: engine.id.clone(),
+            told,
+            ended: self.elapsed(),
+            cut: counters.accepted - counters.completed - counters.cancelled,
+        });
+    }
+
+    /// Ends an agent without warning.
+    pub fn kill_agent(&mut self, index: usize) {
+        if let Some(agent) = self.fleet.agents[index].take() {
+            agent.kill();
+        }
+    }
+
+    /// Starts an agent again on its former addresses, unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address can't be bound.
+    pub async fn restart_agent(&mut self, index: usize) -> Result<()> {
+        let member = &mut self.fleet.agents[index];
+        if member.process().is_some() {
+            return Ok(());
+        }
+        let agent = AgentProcess::spawn(member.settings().clone())
+            .await
+            .map_err(|error| internal(format!("an agent can't start again: {error}")))?;
+        member.put(agent);
+        Ok(())
+    }
+
+    /// Ends an entry without warning. Callers are sent to the others from here on.
+    pub fn kill_entry(&mut self, index: usize) {
+        let member = &mut self.fleet.entries[index];
+        let Some(entry) = member.take() else {
+            return;
+        };
+        self.kills.push(EntryKill {
+            entry: member.settings().process.clone(),
+            at: self.sampler.elapsed(),
+        });
+        self.context.targets.store(Arc::new(call_targets(&self.fleet)));
+        entry.kill();
+    }
+
+    /// Stops an entry gracefully. Callers are sent to the others from here on.
+    pub async fn drain_entry(&mut self, index: usize) {
+        let Some(entry) = self.fleet.entries[index].take() else {
+            return;
+        };
+        self.context.targets.store(Arc::new(call_targets(&self.fleet)));
+        entry.drain().await;
+    }
+
+    /// Starts an entry again on its former addresses, unless it runs.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address can't be bound.
+    pub async fn restart_entry(&mut self, index: usize) -> Result<()> {
+        let member = &mut self.fleet.entries[index];
+        if member.process().is_some() {
+            return Ok(());
+        }
+        let entry = EntryProcess::spawn(member.settings().clone()).await?;
+        member.put(entry);
+        self.context.targets.store(Arc::new(call_targets(&self.fleet)));
+        Ok(())
+    }
+
+    /// Waits for the last call and returns the evidence.
+    pub async fn finish(mut self) -> FinishedRun {
+        while !self.workload.is_finished() {
+            self.sampler.sample(&self.fleet);
+            tokio::time::sleep(SAMPLE_INTERVAL).await;
+        }
+        self.sampler.sample(&self.fleet);
+        let elapsed = self.sampler.elapsed();
+        let mut records = self.workload.await.unwrap_or_default();
+        let (engines, readings) = self.sampler.close();
+        self.evidence.engines = engines;
+        self.evidence.readings = readings;
+        self.evidence.services = service_book(&self.fleet);
+        self.evidence.calls = std::mem::take(&mut records.calls);
+        excuse_killed(&mut self.evidence.calls, &self.kills);
+        FinishedRun {
+            fleet: self.fleet,
+            evidence: self.evidence,
+            records,
+            elapsed,
+        }
+    }
+}
+
+/// Marks the calls that broke because their entry was killed meanwhile.
+fn excuse_killed(calls: &mut [CallRecord], kills: &[EntryKill]) {
+    for call in calls {
+        let killed = kills.iter().any(|kill| {
+            kill.entry == call.entry && (call.started..=call.ended).contains(&kill.at)
+        });
+        if let CallResult::Broken { entry_killed, .. } = &mut call.result {
+            *entry_killed = killed;
+        }
+    }
+}
+
+/// Returns the entries of a fleet as the balancer would give them to callers.
+fn call_targets(fleet: &DemoFleet) -> Vec<CallTarget> {
+    fleet
+        .entries
+        .iter()
+        .filter_map(|member| {
+            Some(CallTarget {
+                entry: member.settings().process.clone(),
+                address: member.process()?.http_address(),
+            })
+        })
+        .collect()
+}
+
+/// Returns the executions for each key over all instances of the service.
+fn service_book(fleet: &DemoFleet) -> ServiceBook {
+    let mut book = ServiceBook::default();
+    for service in &fleet.services {
+        for (key, count) in service.counters().by_key {
+            let key: IdempotencyKey = key.parse().expect("the lab's keys are valid");
+            *book.executions.entry(key).or_default() += u64::from(count);
+        }
+    }
+    book
+}
--- a/crates/amaranth-lab/src/fleet/member.rs
+++ b/crates/amaranth-lab/src/fleet/member.rs
@@ -1,6 +1,7 @@
 //! One process of a fleet that can be stopped, killed and started again.
 
-use std::net::SocketAddr;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
 
 /// A process with the settings that it is started from.
 pub struct FleetMember<Settings, Process> {
@@ -42,3 +43,12 @@
 pub fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
+
+/// Returns a loopback address whose port is free now, for a process that must know it beforehand.
+///
+/// # Errors
+///
+/// Returns an error when no port is free.
+pub fn free_port() -> io::Result<SocketAddr> {
+    TcpListener::bind(any_port())?.local_addr()
+}
--- a/crates/amaranth-lab/tests/checker.rs
+++ b/crates/amaranth-lab/tests/checker.rs
@@ -73,6 +73,7 @@
     PlannedStop {
         endpoint: "engine-1".parse().unwrap(),
         told: 4 * SECOND,
+        ended: 8 * SECOND,
         cut: 0,
     }
 }
