--- a/crates/amaranth-agent/tests/fakes/fleet.rs
+++ b/crates/amaranth-agent/tests/fakes/fleet.rs
@@ -62,6 +62,7 @@
         data_centre: "obihiro-a".parse().unwrap(),
         region: "doto".parse().unwrap(),
         peer_address: LOOPBACK,
+        advertised_address: None,
         admin_address: LOOPBACK,
         log_address: LOOPBACK,
         vm_list_address: None,
--- a/crates/amaranth-lab/src/faults/arguments.rs
+++ b/crates/amaranth-lab/src/faults/arguments.rs
@@ -90,7 +90,9 @@
                 Long("minutes") => {
                     let count: f64 = parser.value()?.parse()?;
                     if !(count > 0.0 && count <= MAX_MINUTES) {
-                        return Err(format!("--minutes must be above 0, at most {MAX_MINUTES}").into());
+                        return Err(
+                            format!("--minutes must be above 0, at most {MAX_MINUTES}").into()
+                        );
                     }
                     parsed.duration = minutes(count);
                 }
--- a/crates/amaranth-lab/src/faults/report.rs
+++ b/crates/amaranth-lab/src/faults/report.rs
@@ -87,9 +87,11 @@
             .iter()
             .map(|window| WindowReport {
                 window: window.clone(),
-                calls: StretchCounts::count(calls.iter().filter(|call| {
-                    (window.begin..window.end).contains(&call.started)
-                })),
+                calls: StretchCounts::count(
+                    calls
+                        .iter()
+                        .filter(|call| (window.begin..window.end).contains(&call.started)),
+                ),
             })
             .collect();
         let settled = quiet_from + RECOVERY_TIME;
@@ -118,7 +120,9 @@
         if json {
             match serde_json::to_string_pretty(self) {
                 Ok(text) => println!("{text}"),
-                Err(error) => eprintln!("amaranth-lab faults: the report can't be encoded: {error}"),
+                Err(error) => {
+                    eprintln!("amaranth-lab faults: the report can't be encoded: {error}")
+                }
             }
             return;
         }
@@ -130,7 +134,10 @@
             "{} seed {} ({:.1} s)",
             self.deployment, self.seed, self.elapsed_s
         );
-        println!("  {:<46} {:>8} {:>8} {:>8}", "calls that began under", "answered", "refused", "broken");
+        println!(
+            "  {:<46} {:>8} {:>8} {:>8}",
+            "calls that began under", "answered", "refused", "broken"
+        );
         for report in &self.windows {
             print_counts(&report.window.to_string(), &report.calls);
         }
--- a/crates/amaranth-lab/src/fleet/fleet_run.rs
+++ b/crates/amaranth-lab/src/fleet/fleet_run.rs
@@ -156,7 +156,9 @@
             entry: member.settings().process.clone(),
             at: self.sampler.elapsed(),
         });
-        self.context.targets.store(Arc::new(call_targets(&self.fleet)));
+        self.context
+            .targets
+            .store(Arc::new(call_targets(&self.fleet)));
         entry.kill();
     }
 
@@ -165,7 +167,9 @@
         let Some(entry) = self.fleet.entries[index].take() else {
             return;
         };
-        self.context.targets.store(Arc::new(call_targets(&self.fleet)));
+        self.context
+            .targets
+            .store(Arc::new(call_targets(&self.fleet)));
         entry.drain().await;
     }
 
@@ -181,7 +185,9 @@
         }
         let entry = EntryProcess::spawn(member.settings().clone()).await?;
         member.put(entry);
-        self.context.targets.store(Arc::new(call_targets(&self.fleet)));
+        self.context
+            .targets
+            .store(Arc::new(call_targets(&self.fleet)));
         Ok(())
     }
 
@@ -212,9 +218,9 @@
 /// Marks the calls that broke because their entry was killed meanwhile.
 fn excuse_killed(calls: &mut [CallRecord], kills: &[EntryKill]) {
     for call in calls {
-        let killed = kills.iter().any(|kill| {
-            kill.entry == call.entry && (call.started..=call.ended).contains(&kill.at)
-        });
+        let killed = kills
+            .iter()
+            .any(|kill| kill.entry == call.entry && (call.started..=call.ended).contains(&kill.at));
         if let CallResult::Broken { entry_killed, .. } = &mut call.result {
             *entry_killed = killed;
         }
