Test engine faults, readers and planned stops; release leases on drain

Tests found three faults. The planner ignored the engine's sizes, so a lone slot was never emptied: it is resized from the inventory. A new agent waited up to 5 s for its first lease record: the first read of the stream no longer waits. A drained agent left its leases to lapse after 60 s: it now stops orders, waits for those in transit and appends a release.

--- a/crates/amaranth-agent/src/engine_control.rs
+++ b/crates/amaranth-agent/src/engine_control.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use amaranth_control::lease::keeper::LeaseEvent;
+use amaranth_control::lease::stage::OrderPermit;
 use amaranth_control::pins::PinBook;
 use amaranth_core::errors::{Error, ErrorKind};
 use amaranth_core::ids::{AdapterRef, EndpointId, RequestId};
@@ -20,7 +21,7 @@
 use amaranth_ports::engine::{EngineInventory, EnginePort};
 use amaranth_ports::{PortError, PortResult};
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{interval, timeout};
 
 use crate::answer_store::AnswerSlot;
@@ -63,6 +64,8 @@
     UnloadEnded(AdapterRef, PortResult<()>),
     /// The engine was read. The number is that of the orders when the read began.
     Inventory(u64, PortResult<EngineInventory>),
+    /// The agent leaves: no further order is sent. The sender is dropped when none is in transit.
+    Quiesce(oneshot::Sender<()>),
 }
 
 /// What every engine of the agent shares.
@@ -97,6 +100,14 @@
         let _ = self.events.send(event).await;
     }
 
+    /// Returns when no order is in transit and none will be sent any more.
+    pub async fn quiesce(&self) {
+        let (sender, done) = oneshot::channel();
+        self.send(EngineEvent::Quiesce(sender)).await;
+        // The sender is dropped, never used.
+        let _ = done.await;
+    }
+
     /// Returns the engine's latest report.
     pub fn report(&self) -> Arc<EndpointReport> {
         self.report.load_full()
@@ -139,6 +150,9 @@
     order_count: u64,
     open_orders: usize,
     reading: bool,
+    /// Held while the agent leaves and an order is in transit.
+    quiescing: Option<oneshot::Sender<()>>,
+    leaving: bool,
     published: Option<EndpointReport>,
 }
 
@@ -186,6 +200,8 @@
         order_count: 0,
         open_orders: 0,
         reading: false,
+        quiescing: None,
+        leaving: false,
         published: None,
     };
     control.spawn(engine.run(events));
@@ -230,6 +246,10 @@
             EngineEvent::LoadEnded(adapter, result) => self.end_load(adapter, result),
             EngineEvent::UnloadEnded(adapter, result) => self.end_unload(adapter, result),
             EngineEvent::Inventory(count, result) => self.take_inventory(count, result),
+            EngineEvent::Quiesce(done) => {
+                self.leaving = true;
+                self.quiescing = (self.open_orders > 0).then_some(done);
+            }
         }
     }
 
@@ -437,7 +457,7 @@
         self.begin_order();
         let handle = self.handle.clone();
         let orders = self.orders.clone();
-        let permit = self.context.lease.board().permit(&self.endpoint);
+        let permit = self.permit();
         self.decide(&format!("event=load_ordered adapter={adapter}"));
         self.context.traffic.spawn(async move {
             let result = orders.load(&adapter, permit).await;
@@ -449,7 +469,7 @@
         self.begin_order();
         let handle = self.handle.clone();
         let orders = self.orders.clone();
-        let permit = self.context.lease.board().permit(&self.endpoint);
+        let permit = self.permit();
         let order = permit.and_then(|permit| self.pins.evict(&adapter, permit));
         self.decide(&format!("event=unload_ordered adapter={adapter}"));
         self.context.traffic.spawn(async move {
@@ -465,6 +485,11 @@
         });
     }
 
+    fn permit(&self) -> Option<OrderPermit> {
+        let board = self.context.lease.board();
+        board.permit(&self.endpoint).filter(|_| !self.leaving)
+    }
+
     fn end_load(&mut self, adapter: AdapterRef, result: PortResult<()>) {
         self.end_order();
         self.return_permit(adapter.clone(), result.is_ok());
@@ -521,6 +546,9 @@
     fn end_order(&mut self) {
         self.order_count += 1;
         self.open_orders -= 1;
+        if self.open_orders == 0 {
+            self.quiescing = None;
+        }
     }
 
     /// Keeps the resident list in step with an order that the engine confirmed.
@@ -585,6 +613,8 @@
         if self.is_restart(&inventory) {
             self.greet(&inventory);
         }
+        self.planner
+            .resize(inventory.adapter_slots.into(), inventory.batch_slots.into());
         let adapters = inventory.adapters.clone();
         self.inventory = Some(Arc::new(inventory));
         self.plan(PlannerEvent::Inventory(adapters));
--- a/crates/amaranth-agent/src/lease_keeper.rs
+++ b/crates/amaranth-agent/src/lease_keeper.rs
@@ -11,8 +11,8 @@
 use amaranth_core::time::Timestamp;
 use amaranth_ports::log::{LogPage, LogPort, LogStream};
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, mpsc};
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::clock::AgentClock;
 use crate::decision_log::DecisionLog;
@@ -61,10 +61,19 @@
     }
 }
 
+/// What the keeper is told.
+#[derive(Debug)]
+enum KeeperMessage {
+    /// Something happened.
+    Event(LeaseEvent),
+    /// The agent gives its leases up, and wants to know when that was appended or failed.
+    Leave(oneshot::Sender<()>),
+}
+
 /// The way to the running keeper.
 #[derive(Debug, Clone)]
 pub struct LeaseHandle {
-    events: mpsc::Sender<LeaseEvent>,
+    events: mpsc::Sender<KeeperMessage>,
     board: Arc<LeaseBoard>,
 }
 
@@ -77,7 +86,19 @@
     /// Tells the keeper that the engine refused a token, or what kind of engine it is.
     pub async fn send(&self, event: LeaseEvent) {
         // A closed queue means that the agent is ending, and then nobody waits for the event.
-        let _ = self.events.send(event).await;
+        let _ = self.events.send(KeeperMessage::Event(event)).await;
+    }
+
+    /// Gives the leases up. No order may be in transit, and none may be sent from here on.
+    ///
+    /// Returns when the log has the release, or without it when the log can't be reached: then
+    /// the leases lapse.
+    pub async fn leave(&self) {
+        let (sender, appended) = oneshot::channel();
+        if self.events.send(KeeperMessage::Leave(sender)).await.is_ok() {
+            // The sender is dropped when there is nothing to release.
+            let _ = timeout(APPEND_TIMEOUT, appended).await;
+        }
     }
 }
 
@@ -136,33 +157,34 @@
 }
 
 impl RunningKeeper {
-    async fn run(mut self, mut events: mpsc::Receiver<LeaseEvent>) {
+    async fn run(mut self, mut events: mpsc::Receiver<KeeperMessage>) {
         let (pages, mut read) = mpsc::channel(1);
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        self.read_from(pages.clone());
+        // The first read does not wait for a record that may not come for long.
+        self.read_from(pages.clone(), Duration::ZERO);
         loop {
             tokio::select! {
-                Some(event) = events.recv() => self.handle(event),
+                Some(message) = events.recv() => match message {
+                    KeeperMessage::Event(event) => self.handle(event, None),
+                    KeeperMessage::Leave(done) => self.handle(LeaseEvent::Leaving, Some(done)),
+                },
                 Some(page) = read.recv() => {
                     self.take_page(page);
-                    self.read_from(pages.clone());
+                    self.read_from(pages.clone(), READ_WAIT);
                 }
-                _ = ticks.tick() => self.handle(LeaseEvent::Tick),
+                _ = ticks.tick() => self.handle(LeaseEvent::Tick, None),
             }
         }
     }
 
-    /// Reads the stream from the next offset on, waiting for records.
-    fn read_from(&self, pages: mpsc::Sender<LogPage>) {
+    /// Reads the stream from the next offset on, waiting up to `wait` for a record.
+    fn read_from(&self, pages: mpsc::Sender<LogPage>, wait: Duration) {
         let log = self.task.log.clone();
         let from = self.keeper.next_offset();
         self.task.tasks.spawn(async move {
             let page = loop {
-                match log
-                    .read(LogStream::Leases, from, PAGE_RECORDS, READ_WAIT)
-                    .await
-                {
+                match log.read(LogStream::Leases, from, PAGE_RECORDS, wait).await {
                     Ok(page) => break page,
                     Err(error) => {
                         metrics::counter!("amaranth_agent_lease_reads_failed_total").increment(1);
@@ -188,20 +210,23 @@
                     None
                 }
             };
-        self.handle(LeaseEvent::Read {
-            records: page.records.into_iter().filter_map(decode).collect(),
-            first_kept: page.first_kept,
-        });
+        self.handle(
+            LeaseEvent::Read {
+                records: page.records.into_iter().filter_map(decode).collect(),
+                first_kept: page.first_kept,
+            },
+            None,
+        );
     }
 
-    fn handle(&mut self, event: LeaseEvent) {
+    fn handle(&mut self, event: LeaseEvent, mut done: Option<oneshot::Sender<()>>) {
         let now = self.task.clock.now();
         let commands = self.keeper.handle(now, event);
         let moved = commands
             .iter()
             .any(|command| !matches!(command, LeaseCommand::Append(_)));
         for command in commands {
-            self.execute(command);
+            self.execute(command, &mut done);
         }
         self.publish(now);
         if moved {
@@ -209,9 +234,9 @@
         }
     }
 
-    fn execute(&self, command: LeaseCommand) {
+    fn execute(&self, command: LeaseCommand, done: &mut Option<oneshot::Sender<()>>) {
         match command {
-            LeaseCommand::Append(record) => self.append(&record),
+            LeaseCommand::Append(record) => self.append(&record, done.take()),
             LeaseCommand::Gained(endpoint, token) => self.task.decisions.record(format!(
                 "event=lease_gained endpoint={endpoint} token={token}"
             )),
@@ -222,7 +247,7 @@
         }
     }
 
-    fn append(&self, record: &LeaseRecord) {
+    fn append(&self, record: &LeaseRecord, done: Option<oneshot::Sender<()>>) {
         let log = self.task.log.clone();
         let data = record.encode();
         self.task.tasks.spawn(async move {
@@ -230,6 +255,7 @@
                 metrics::counter!("amaranth_agent_lease_appends_failed_total").increment(1);
                 log::warn!("event=lease_append_failed error={:?}", error.to_string());
             }
+            drop(done);
         });
     }
 
--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -154,7 +154,7 @@
         self.core.start_leaving();
         announcer::announce(&self.core).await;
         self.drained().await;
-        announcer::announce(&self.core).await;
+        self.core.release_endpoints().await;
         log::info!("event=agent_drained process={}", self.core.identity.process);
     }
 
--- a/crates/amaranth-agent/src/server.rs
+++ b/crates/amaranth-agent/src/server.rs
@@ -15,8 +15,10 @@
 };
 use amaranth_ports::service::ServicePort;
 use amaranth_wire::agent::{AgentRpc, AgentStatus, AnswerRead, ClaimStanding};
+use futures::future::join_all;
 use tarpc::context::Context;
 use tokio::sync::Notify;
+use tokio::time::timeout;
 
 use crate::announcer::HeardRevision;
 use crate::answer_store::AnswerStore;
@@ -105,6 +107,18 @@
         }
     }
 
+    /// Stops giving the engines orders and releases their leases.
+    ///
+    /// An order whose answer was lost is waited for no longer than it can take to land; if it
+    /// stays in doubt, the leases lapse instead.
+    pub async fn release_endpoints(&self) {
+        let quiesce = self.engines.values().map(EngineHandle::quiesce);
+        let quiet = timeout(self.limits.order_timeout * 2, join_all(quiesce)).await;
+        if quiet.is_ok() {
+            self.lease.leave().await;
+        }
+    }
+
     /// Returns whether nothing is in flight or unread.
     pub fn is_idle(&self) -> bool {
         self.answers.undelivered() == 0 && self.calls_in_flight() == 0
--- a/crates/amaranth-agent/tests/fakes/engine.rs
+++ b/crates/amaranth-agent/tests/fakes/engine.rs
@@ -30,6 +30,8 @@
     pub inventory_delay: Duration,
     /// Every stream breaks off before this chunk.
     pub breaks_at: Option<u64>,
+    /// The connection of the first stream breaks before this chunk, and the engine goes on.
+    pub drops_connection_at: Option<u64>,
     /// Nothing is answered.
     pub down: bool,
 }
@@ -253,6 +255,11 @@
             let error = PortError::Uncertain("stream broke off".to_owned());
             return Some((Err(error), u64::MAX));
         }
+        if faults.drops_connection_at == Some(number) {
+            self.state.lock().unwrap().faults.drops_connection_at = None;
+            let error = PortError::Uncertain("connection lost".to_owned());
+            return Some((Err(error), u64::MAX));
+        }
         if number >= self.shape.chunks || !self.state.lock().unwrap().running.contains_key(&id) {
             self.state.lock().unwrap().running.remove(&id);
             return None;
--- a/crates/amaranth-agent/tests/fakes/log.rs
+++ b/crates/amaranth-agent/tests/fakes/log.rs
@@ -10,11 +10,13 @@
 use amaranth_ports::{PortError, PortResult};
 use async_trait::async_trait;
 use bytes::Bytes;
+use tokio::sync::Notify;
 
 /// A log whose faults are switched by tests.
 #[derive(Debug, Default)]
 pub struct FakeLog {
     streams: Mutex<HashMap<LogStream, Vec<Bytes>>>,
+    appended: Notify,
     /// Whether the log can't be reached.
     pub down: AtomicBool,
     /// Whether appends take effect and their answers are lost.
@@ -33,6 +35,7 @@
         let mut streams = self.streams.lock().unwrap();
         let records = streams.entry(stream).or_default();
         records.push(record);
+        self.appended.notify_waiters();
         LogOffset(records.len() as u64 - 1)
     }
 
@@ -65,7 +68,8 @@
         self.check()?;
         let kept = self.records(stream);
         if from.0 >= kept.len() as u64 {
-            tokio::time::sleep(wait).await;
+            // Appends of other streams wake the reader as well, which a log may do.
+            let _ = tokio::time::timeout(wait, self.appended.notified()).await;
             self.check()?;
         }
         let kept = self.records(stream);
--- a/crates/amaranth-placement/src/planner.rs
+++ b/crates/amaranth-placement/src/planner.rs
@@ -131,6 +131,12 @@
         }
     }
 
+    /// Changes the sizes of the engine, as its inventory states them.
+    pub fn resize(&mut self, adapter_slots: usize, batch_slots: usize) {
+        self.options.adapter_slots = adapter_slots;
+        self.options.batch_slots = batch_slots;
+    }
+
     /// Returns the resident adapters in order.
     pub fn resident(&self) -> impl Iterator<Item = &AdapterRef> {
         self.in_phase(|phase| phase == AdapterPhase::Resident)
