--- /dev/null
+++ b/crates/amaranth-ctl/src/arguments.rs
@@ -0,0 +1,340 @@
+//! The command line.
+
+use std::ffi::OsString;
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use amaranth_core::ids::ConfigRevision;
+use amaranth_telemetry::settings;
+use lexopt::prelude::{Long, Short, Value, ValueExt};
+use strum::{EnumString, IntoEnumIterator};
+
+use crate::error::CommandError;
+use crate::exit::ExitStatus;
+use crate::settings::CtlSettings;
+
+const HELP: &str = "\
+amaranthctl: checks, applies and explains the configuration of amaranthfield
+
+Usage: amaranthctl COMMAND [OPTIONS]
+
+Commands:
+  check FOLDER           Merges and checks the folder's .toml files, without any connection
+  diff FOLDER            Shows what applying the folder would change
+  apply FOLDER           Makes the folder the configuration in force
+  status                 Shows every daemon with its revision
+  history                Shows the changes that the log still keeps, and what became of them
+  explain WORD           Shows recent decisions that name a request, adapter or endpoint
+  drain NAME             Stops admission at a process; it ends when nothing is in flight
+
+Options of every command:
+      --json             Prints one JSON object
+      --settings FILE    Reads log_address, vm_list_address, entries and author from this file
+      --log ADDRESS      The platform's log
+      --vm-list ADDRESS  The platform's list of VMs, from which daemons are found
+      --entry ADDRESS    An entry's peer address, from which daemons are found; may be repeated
+  -h, --help             Prints this help
+  -V, --version          Prints the version
+
+Options of diff and apply:
+      --base REVISION    The revision that the folder was made from: what others changed since
+                         is left alone, and a clash with it is a conflict
+
+Options of apply:
+      --author NAME      Who applies
+      --dry-run          Shows the change and ends
+      --yes              Confirms any number of deletions
+      --max-deletions P  Percentage of all entries that may be deleted without --yes [10]
+
+Options of apply and drain:
+      --wait             Waits until every live daemon reports the revision, or until the drained
+                         process has ended
+      --timeout TIME     Longest wait for the log and for daemons, such as 30s [15s]
+
+Options of history:
+      --limit N          Most changes that are shown, newest last [50]
+";
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum ParsedArguments {
+    /// Run a command.
+    Run(Box<Invocation>),
+    /// Print this text and end.
+    Print(String),
+}
+
+/// A command with all that it needs.
+#[derive(Debug)]
+pub struct Invocation {
+    /// The command.
+    pub command: Command,
+    /// Where the log and the daemons are.
+    pub settings: CtlSettings,
+    /// Whether the report is a JSON object.
+    pub json: bool,
+}
+
+/// One command.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// `check`
+    Check(PathBuf),
+    /// `diff`
+    Diff {
+        /// The folder.
+        folder: PathBuf,
+        /// The revision that the folder was made from.
+        base: Option<ConfigRevision>,
+    },
+    /// `apply`
+    Apply(ApplyOptions),
+    /// `status`
+    Status,
+    /// `history`
+    History {
+        /// Most changes that are shown.
+        limit: usize,
+    },
+    /// `explain`
+    Explain(String),
+    /// `drain`
+    Drain(DrainOptions),
+}
+
+/// Options of `drain`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct DrainOptions {
+    /// The process or its address.
+    pub name: String,
+    /// Whether to wait until the process has ended.
+    pub wait: bool,
+    /// Longest wait.
+    pub timeout: Duration,
+}
+
+/// Options of `apply`.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ApplyOptions {
+    /// The folder.
+    pub folder: PathBuf,
+    /// The revision that the folder was made from.
+    pub base: Option<ConfigRevision>,
+    /// Whether the change is only shown.
+    pub dry_run: bool,
+    /// Whether any number of deletions is confirmed.
+    pub confirmed: bool,
+    /// Percentage of all entries that may be deleted without confirmation.
+    pub max_deletions: f64,
+    /// Whether to wait for the daemons.
+    pub wait: bool,
+    /// Longest wait for the log and for the daemons.
+    pub timeout: Duration,
+}
+
+/// The name of a command.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, EnumString)]
+#[strum(serialize_all = "kebab-case")]
+enum CommandName {
+    Check,
+    Diff,
+    Apply,
+    Status,
+    History,
+    Explain,
+    Drain,
+}
+
+/// Percentage of deletions that needs no confirmation unless set.
+const DEFAULT_MAX_DELETIONS: f64 = 10.0;
+
+/// Longest wait unless set: the time within which a change must be in force everywhere.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(15);
+
+/// Changes that `history` shows unless set.
+const DEFAULT_LIMIT: usize = 50;
+
+/// Everything that the options can say.
+#[derive(Debug)]
+struct OptionValues {
+    words: Vec<String>,
+    given: CtlSettings,
+    file: Option<PathBuf>,
+    json: bool,
+    base: Option<ConfigRevision>,
+    dry_run: bool,
+    confirmed: bool,
+    max_deletions: f64,
+    wait: bool,
+    timeout: Duration,
+    limit: usize,
+}
+
+impl Default for OptionValues {
+    fn default() -> Self {
+        Self {
+            words: Vec::new(),
+            given: CtlSettings::default(),
+            file: None,
+            json: false,
+            base: None,
+            dry_run: false,
+            confirmed: false,
+            max_deletions: DEFAULT_MAX_DELETIONS,
+            wait: false,
+            timeout: DEFAULT_TIMEOUT,
+            limit: DEFAULT_LIMIT,
+        }
+    }
+}
+
+impl ParsedArguments {
+    /// Parses the arguments that follow the program's name.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that names what is unknown, incomplete or missing.
+    pub fn parse(arguments: impl IntoIterator<Item = OsString>) -> Result<Self, CommandError> {
+        let mut parser = lexopt::Parser::from_args(arguments);
+        let mut values = OptionValues::default();
+        while let Some(argument) = parser.next().map_err(misused)? {
+            match argument {
+                Short('h') | Long("help") => return Ok(Self::Print(help())),
+                Short('V') | Long("version") => {
+                    return Ok(Self::Print(format!(
+                        "amaranthctl {}",
+                        env!("CARGO_PKG_VERSION")
+                    )));
+                }
+                Value(word) => values.words.push(word.string().map_err(misused)?),
+                Long(option) => {
+                    let option = option.to_owned();
+                    values.take(&option, &mut parser).map_err(misused)?;
+                }
+                unknown @ Short(_) => return Err(misused(unknown.unexpected())),
+            }
+        }
+        values.into_invocation().map(Box::new).map(Self::Run)
+    }
+}
+
+fn misused(error: lexopt::Error) -> CommandError {
+    CommandError::usage(format!("{error}; see amaranthctl --help"))
+}
+
+/// Returns the help with the exit statuses.
+fn help() -> String {
+    let mut text = format!("{HELP}\nExit status:\n");
+    for status in ExitStatus::iter() {
+        let number = status as u8;
+        writeln!(text, "  {number}  {}", status.meaning()).expect("a string takes all");
+    }
+    text
+}
+
+impl OptionValues {
+    /// Takes one option and its value.
+    fn take(&mut self, option: &str, parser: &mut lexopt::Parser) -> Result<(), lexopt::Error> {
+        match option {
+            "json" => self.json = true,
+            "settings" => self.file = Some(parser.value()?.into()),
+            "log" => self.given.log_address = Some(parser.value()?.parse()?),
+            "vm-list" => self.given.vm_list_address = Some(parser.value()?.parse()?),
+            "entry" => {
+                let address: SocketAddr = parser.value()?.parse()?;
+                self.given.entries.push(address);
+            }
+            "author" => self.given.author = Some(parser.value()?.parse()?),
+            "base" => self.base = Some(parser.value()?.parse()?),
+            "dry-run" => self.dry_run = true,
+            "yes" => self.confirmed = true,
+            "max-deletions" => {
+                self.max_deletions = parser.value()?.parse_with(parse_percentage)?;
+            }
+            "wait" => self.wait = true,
+            "timeout" => {
+                self.timeout = parser.value()?.parse_with(humantime::parse_duration)?;
+            }
+            "limit" => self.limit = parser.value()?.parse()?,
+            unknown => return Err(Long(unknown).unexpected()),
+        }
+        Ok(())
+    }
+
+    fn into_invocation(self) -> Result<Invocation, CommandError> {
+        let mut words = self.words.iter().cloned();
+        let command = words
+            .next()
+            .ok_or_else(|| CommandError::usage("a command is missing; see amaranthctl --help"))?;
+        let name: CommandName = command.parse().map_err(|_| {
+            CommandError::usage(format!(
+                "command {command:?} is unknown; see amaranthctl --help"
+            ))
+        })?;
+        let mut operand = |what: &str| {
+            words
+                .next()
+                .ok_or_else(|| CommandError::usage(format!("{command} needs {what}")))
+        };
+        let command = match name {
+            CommandName::Check => Command::Check(operand("a folder")?.into()),
+            CommandName::Diff => Command::Diff {
+                folder: operand("a folder")?.into(),
+                base: self.base,
+            },
+            CommandName::Apply => Command::Apply(self.apply_options(operand("a folder")?.into())),
+            CommandName::Status => Command::Status,
+            CommandName::History => Command::History { limit: self.limit },
+            CommandName::Explain => Command::Explain(operand("a word to look for")?),
+            CommandName::Drain => Command::Drain(DrainOptions {
+                name: operand("a process or an address")?,
+                wait: self.wait,
+                timeout: self.timeout,
+            }),
+        };
+        if let Some(surplus) = words.next() {
+            let message = format!("argument {surplus:?} is one too many");
+            return Err(CommandError::usage(message));
+        }
+        Ok(Invocation {
+            command,
+            settings: self.settings()?,
+            json: self.json,
+        })
+    }
+
+    const fn apply_options(&self, folder: PathBuf) -> ApplyOptions {
+        ApplyOptions {
+            folder,
+            base: self.base,
+            dry_run: self.dry_run,
+            confirmed: self.confirmed,
+            max_deletions: self.max_deletions,
+            wait: self.wait,
+            timeout: self.timeout,
+        }
+    }
+
+    /// Returns the options' settings, filled up from the file.
+    fn settings(&self) -> Result<CtlSettings, CommandError> {
+        let Some(file) = &self.file else {
+            return Ok(self.given.clone());
+        };
+        let read: CtlSettings = settings::read(file).map_err(|error| CommandError {
+            status: ExitStatus::Usage,
+            report: error.into(),
+            faults: Vec::new(),
+        })?;
+        Ok(self.given.clone().or(read))
+    }
+}
+
+fn parse_percentage(text: &str) -> Result<f64, String> {
+    let number = text.strip_suffix('%').unwrap_or(text);
+    match number.parse::<f64>() {
+        Ok(share) if (0.0..=100.0).contains(&share) => Ok(share),
+        _ => Err(format!("{text:?} is not a percentage from 0 to 100")),
+    }
+}
--- /dev/null
+++ b/crates/amaranth-ctl/src/commands/explain.rs
@@ -0,0 +1,64 @@
+//! `explain`: shows recent decisions that name a request, an adapter or an endpoint.
+
+use std::fmt;
+
+use serde::Serialize;
+
+use crate::daemons::{DaemonDecisions, DaemonFleet};
+use crate::error::CommandError;
+use crate::exit::ExitStatus;
+use crate::output::CommandOutput;
+use crate::settings::CtlSettings;
+
+#[derive(Debug, Serialize)]
+struct ExplainReport {
+    word: String,
+    /// Daemons that were asked and answered.
+    asked: usize,
+    found: Vec<DaemonDecisions>,
+}
+
+impl fmt::Display for ExplainReport {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for daemon in &self.found {
+            for decision in &daemon.decisions {
+                writeln!(formatter, "{}: {decision}", daemon.process)?;
+            }
+        }
+        let Self { word, asked, .. } = self;
+        let count: usize = self.found.iter().map(|daemon| daemon.decisions.len()).sum();
+        write!(
+            formatter,
+            "{count} decisions name {word:?} at {asked} daemons"
+        )
+    }
+}
+
+/// Ends with a failure when no daemon remembers a decision that names the word.
+pub(super) async fn run(
+    word: &str,
+    settings: &CtlSettings,
+    output: &mut CommandOutput,
+) -> Result<ExitStatus, CommandError> {
+    let told = DaemonFleet::open(settings)?.decisions().await?;
+    let asked = told.len();
+    let found: Vec<_> = told
+        .into_iter()
+        .map(|mut daemon| {
+            daemon.decisions.retain(|decision| decision.contains(word));
+            daemon
+        })
+        .filter(|daemon| !daemon.decisions.is_empty())
+        .collect();
+    let nothing = found.is_empty();
+    output.print(&ExplainReport {
+        word: word.to_owned(),
+        asked,
+        found,
+    });
+    Ok(if nothing {
+        ExitStatus::Failure
+    } else {
+        ExitStatus::Success
+    })
+}
--- /dev/null
+++ b/crates/amaranth-ctl/src/commands/mod.rs
@@ -0,0 +1,38 @@
+//! The commands.
+
+mod append;
+mod apply;
+mod check;
+mod diff;
+mod drain;
+mod edit_list;
+mod explain;
+mod history;
+mod status;
+
+use crate::arguments::Command;
+use crate::error::CommandError;
+use crate::exit::ExitStatus;
+use crate::output::CommandOutput;
+use crate::settings::CtlSettings;
+
+/// Runs one command.
+///
+/// # Errors
+///
+/// Returns what kept the command from succeeding, with its exit status.
+pub async fn run_command(
+    command: Command,
+    settings: &CtlSettings,
+    output: &mut CommandOutput,
+) -> Result<ExitStatus, CommandError> {
+    match command {
+        Command::Check(folder) => check::run(&folder, output),
+        Command::Diff { folder, base } => diff::run(&folder, base, settings, output).await,
+        Command::Apply(options) => apply::run(&options, settings, output).await,
+        Command::Status => status::run(settings, output).await,
+        Command::History { limit } => history::run(limit, settings, output).await,
+        Command::Explain(word) => explain::run(&word, settings, output).await,
+        Command::Drain(options) => drain::run(&options, settings, output).await,
+    }
+}
--- /dev/null
+++ b/crates/amaranth-ctl/src/exit.rs
@@ -0,0 +1,58 @@
+//! How a command ends.
+
+use std::process::ExitCode;
+
+use serde::Serialize;
+use strum::{Display, EnumIter, IntoStaticStr};
+
+/// The exit status of a command. The numbers are part of the interface.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Display, EnumIter, IntoStaticStr)]
+#[strum(serialize_all = "kebab-case")]
+#[serde(rename_all = "kebab-case")]
+#[repr(u8)]
+pub enum ExitStatus {
+    /// The command did what it says.
+    Success = 0,
+    /// Something could not be reached or read.
+    Failure = 1,
+    /// The command line or the settings are wrong.
+    Usage = 2,
+    /// The folder is refused. Nothing changed.
+    FolderRefused = 3,
+    /// Another change was first. Nothing changed.
+    Conflict = 4,
+    /// The readers refused the change for another reason. Nothing changed.
+    ChangeRefused = 5,
+    /// The change may be in the log, and the log can't be read to find out.
+    OutcomeUnknown = 6,
+    /// The change is accepted, and some daemons don't report it yet.
+    Lagging = 7,
+    /// The change deletes more than the allowed share and was not confirmed. Nothing changed.
+    Unconfirmed = 8,
+    /// The folder differs from the configuration in force.
+    Differs = 9,
+}
+
+impl ExitStatus {
+    /// Returns what the status means, for `--help`.
+    pub const fn meaning(self) -> &'static str {
+        match self {
+            Self::Success => "the command did what it says",
+            Self::Failure => "something could not be reached or read",
+            Self::Usage => "the command line or the settings are wrong",
+            Self::FolderRefused => "the folder is refused; nothing changed",
+            Self::Conflict => "another change was first; nothing changed",
+            Self::ChangeRefused => "the change was refused for another reason; nothing changed",
+            Self::OutcomeUnknown => "the change may be in the log, which can't be read",
+            Self::Lagging => "the change is accepted, and some daemons don't report it yet",
+            Self::Unconfirmed => "too many deletions without --yes; nothing changed",
+            Self::Differs => "diff: the folder differs from the configuration in force",
+        }
+    }
+}
+
+impl From<ExitStatus> for ExitCode {
+    fn from(status: ExitStatus) -> Self {
+        Self::from(status as u8)
+    }
+}
--- /dev/null
+++ b/crates/amaranth-ctl/tests/ctl/main.rs
@@ -0,0 +1,6 @@
+//! The commands of `amaranthctl` against a stand-in of the log and running entries.
+
+mod applying;
+mod checking;
+mod fleet;
+mod support;
--- /dev/null
+++ b/crates/amaranth-ctl/tests/ctl/support.rs
@@ -0,0 +1,130 @@
+//! Runs commands in this process and keeps what they print.
+
+use std::fs;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+
+use amaranth_ctl::exit::ExitStatus;
+use amaranth_ctl::output::CommandOutput;
+use amaranth_standin::log_standin::{LogOptions, LogStandin};
+
+/// A writer that a test reads afterwards.
+#[derive(Debug, Clone, Default)]
+struct SharedBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl SharedBuffer {
+    fn text(&self) -> String {
+        String::from_utf8(self.0.lock().unwrap().clone()).expect("reports are UTF-8")
+    }
+}
+
+impl Write for SharedBuffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// How a command ended and what it printed.
+#[derive(Debug)]
+pub struct Ended {
+    pub status: ExitStatus,
+    pub report: String,
+    pub errors: String,
+}
+
+/// Runs `amaranthctl` with `arguments`.
+pub async fn ctl(arguments: &[&str]) -> Ended {
+    let reports = SharedBuffer::default();
+    let errors = SharedBuffer::default();
+    let output = CommandOutput::open(Box::new(reports.clone()), Box::new(errors.clone()));
+    let status = amaranth_ctl::run(arguments.iter().map(Into::into), output).await;
+    Ended {
+        status,
+        report: reports.text(),
+        errors: errors.text(),
+    }
+}
+
+/// A folder that is removed with the value.
+#[derive(Debug)]
+pub struct TestFolder(PathBuf);
+
+impl TestFolder {
+    /// Creates a folder with one file.
+    pub fn create(text: &str) -> Self {
+        static COUNT: AtomicU32 = AtomicU32::new(0);
+        let number = COUNT.fetch_add(1, Ordering::Relaxed);
+        let name = format!("amaranthctl-{}-{number}", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::create_dir(&path).expect("the folder can be created");
+        let folder = Self(path);
+        folder.write("10.toml", text);
+        folder
+    }
+
+    /// Writes one file.
+    pub fn write(&self, name: &str, text: &str) {
+        fs::write(self.0.join(name), text).expect("the file can be written");
+    }
+
+    /// Returns the path.
+    pub fn path(&self) -> &str {
+        self.0.to_str().expect("the path is UTF-8")
+    }
+}
+
+impl Drop for TestFolder {
+    fn drop(&mut self) {
+        // What is left is the system's to remove.
+        let _ = fs::remove_dir_all(&self.0);
+    }
+}
+
+/// Returns a folder of this repository.
+pub fn repository_folder(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("../..")
+        .join(name);
+    path.to_str().expect("the path is UTF-8").to_owned()
+}
+
+/// A log with the arguments that reach it.
+pub struct TestLog {
+    pub standin: LogStandin,
+    address: String,
+}
+
+impl TestLog {
+    pub async fn spawn() -> Self {
+        let standin = LogStandin::spawn(LogOptions::default())
+            .await
+            .expect("the log starts");
+        let address = standin.address().to_string();
+        Self { standin, address }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.standin.address()
+    }
+
+    /// Runs a command with this log and an author.
+    pub async fn ctl(&self, arguments: &[&str]) -> Ended {
+        let log = ["--log", &self.address, "--author", "aiko"];
+        ctl(&[arguments, &log].concat()).await
+    }
+
+    /// Applies a folder that must be accepted.
+    pub async fn apply(&self, text: &str) {
+        let folder = TestFolder::create(text);
+        let ended = self.ctl(&["apply", folder.path(), "--yes"]).await;
+        assert_eq!(ended.status, ExitStatus::Success, "{}", ended.errors);
+    }
+}
