Spare what a cut off holder serves; announce to each entry on its own

Each entry has an announcing task and a link whose call is its heartbeat, so a silent entry delays no other.

--- a/crates/amaranth-agent/src/announcer.rs
+++ b/crates/amaranth-agent/src/announcer.rs
@@ -1,62 +1,113 @@
 //! Tells the entries of the data centre what the agent has.
+//!
+//! Each entry has a task of its own, so that a silent one delays none of the others.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use amaranth_core::ids::ConfigRevision;
-use amaranth_core::membership::AgentAnnouncement;
-use tokio::task::JoinSet;
-use tokio::time::{MissedTickBehavior, interval, timeout};
+use futures::future::join_all;
+use tokio::sync::watch;
+use tokio::task::{AbortHandle, JoinSet};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 
+use crate::entry_link::EntryLink;
 use crate::server::AgentCore;
 
 /// Time between two reads of the list of VMs.
 const LIST_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Shortest time between two announcements, however often things change.
+/// Shortest time between two announcements to one entry, however often things change.
 const CHANGE_PAUSE: Duration = Duration::from_millis(20);
 
-/// Announces every interval and at once on a change, until the task is aborted.
+/// Says that the entries should learn of a change at once.
+#[derive(Debug)]
+pub struct ChangeSignal {
+    changes: watch::Sender<u64>,
+}
+
+impl Default for ChangeSignal {
+    fn default() -> Self {
+        Self {
+            changes: watch::Sender::new(0),
+        }
+    }
+}
+
+impl ChangeSignal {
+    /// Notes a change.
+    pub fn raise(&self) {
+        self.changes.send_modify(|count| *count += 1);
+    }
+
+    fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+}
+
+/// Keeps one announcing task for each known entry, until the task is aborted.
 pub async fn run(core: Arc<AgentCore>) {
+    let mut tasks = JoinSet::new();
+    let mut running: BTreeMap<SocketAddr, AbortHandle> = BTreeMap::new();
+    let mut rounds = interval(LIST_INTERVAL);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        rounds.tick().await;
+        core.entries.refresh().await;
+        let links = core.entries.links();
+        running.retain(|address, task| {
+            let known = links.contains_key(address);
+            if !known {
+                task.abort();
+            }
+            known
+        });
+        for (address, link) in links.iter() {
+            running
+                .entry(*address)
+                .or_insert_with(|| tasks.spawn(announce_to(core.clone(), link.clone())));
+        }
+    }
+}
+
+/// Announces to one entry every interval and at once on a change.
+async fn announce_to(core: Arc<AgentCore>, link: Arc<EntryLink>) {
+    let mut changes = core.changed.subscribe();
     let mut rounds = interval(core.limits.announce_interval);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut lists = interval(LIST_INTERVAL);
     loop {
         tokio::select! {
             _ = rounds.tick() => {}
-            () = core.changed.notified() => tokio::time::sleep(CHANGE_PAUSE).await,
-            _ = lists.tick() => {
-                core.entries.refresh().await;
-                continue;
-            }
+            _ = changes.changed() => sleep(CHANGE_PAUSE).await,
         }
-        announce(&core).await;
+        changes.mark_unchanged();
+        announce(&core, &link).await;
     }
 }
 
 /// Sends one announcement to every known entry and waits for their answers.
-pub async fn announce(core: &Arc<AgentCore>) {
-    let announcement = core.announcement();
-    let mut sends = JoinSet::new();
-    for address in core.entries.addresses().await {
-        sends.spawn(send(core.clone(), address, announcement.clone()));
-    }
-    sends.join_all().await;
+pub async fn announce_to_all(core: &AgentCore) {
+    let links = core.entries.links();
+    join_all(links.values().map(|link| announce(core, link))).await;
 }
 
-/// Sends an announcement. Its answer is the connection's heartbeat: without one in time the
-/// connection is abandoned for a new one.
-async fn send(core: Arc<AgentCore>, address: SocketAddr, announcement: AgentAnnouncement) {
-    let Some(client) = core.entries.client(address).await else {
-        return;
-    };
-    let call = client.announce(tarpc::context::current(), announcement);
-    match timeout(core.limits.entry_timeout, call).await {
-        Ok(Ok(Ok(reply))) => core.revision.raise(reply.revision),
-        Ok(Ok(Err(error))) => log::warn!("event=announcement_refused entry={address} {error}"),
-        Ok(Err(_)) | Err(_) => core.entries.abandon(address).await,
+/// Sends an announcement. Its answer is the heartbeat of the connection.
+async fn announce(core: &AgentCore, link: &EntryLink) {
+    let announcement = core.announcement();
+    let reply =
+        link.call(|client, context| async move { client.announce(context, announcement).await });
+    match reply.await {
+        Some(Ok(reply)) => core.revision.raise(reply.revision),
+        Some(Err(error)) => {
+            log::warn!(
+                "event=announcement_refused entry={} {error}",
+                link.address()
+            );
+        }
+        None => {}
     }
 }
 
--- a/crates/amaranth-agent/src/engine_control.rs
+++ b/crates/amaranth-agent/src/engine_control.rs
@@ -6,6 +6,7 @@
 mod handle;
 mod inventory;
 mod orders;
+mod predecessor;
 mod report;
 mod requests;
 
@@ -19,12 +20,13 @@
 use amaranth_core::request::CompletionRequest;
 use amaranth_placement::planner::{EnginePlanner, PlannerCommand, PlannerEvent, PlannerOptions};
 use amaranth_ports::PortResult;
-use amaranth_ports::engine::{EngineInventory, EnginePort};
+use amaranth_ports::engine::{EngineInventory, EngineLoadReport, EnginePort};
 use arc_swap::ArcSwap;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::interval;
 
 pub use self::handle::{EngineContext, EngineHandle};
+use self::predecessor::PredecessorWatch;
 use self::requests::HeldRequest;
 use crate::answer_store::AnswerSlot;
 use crate::engine_orders::EngineOrders;
@@ -58,6 +60,8 @@
     UnloadEnded(AdapterRef, PortResult<()>),
     /// The engine was read. The number is that of the orders when the read began.
     Inventory(u64, PortResult<EngineInventory>),
+    /// The engine reported its load.
+    Load(EngineLoadReport),
     /// The agent leaves: no further order is sent. The sender is dropped when none is in transit.
     Quiesce(oneshot::Sender<()>),
 }
@@ -77,6 +81,7 @@
     order_count: u64,
     open_orders: usize,
     reading: bool,
+    predecessor: PredecessorWatch,
     /// Held while the agent leaves and an order is in transit.
     quiescing: Option<oneshot::Sender<()>>,
     leaving: bool,
@@ -127,6 +132,7 @@
         order_count: 0,
         open_orders: 0,
         reading: false,
+        predecessor: PredecessorWatch::default(),
         quiescing: None,
         leaving: false,
         published: None,
@@ -138,6 +144,7 @@
 impl EngineControl {
     async fn run(mut self, mut events: mpsc::Receiver<EngineEvent>) {
         let board = self.context.lease.board().clone();
+        let mut leases = board.subscribe();
         let mut inventories = interval(self.context.limits.inventory_interval);
         let mut ticks = interval(TICK);
         let mut batch = Vec::with_capacity(EVENTS_PER_REPORT);
@@ -152,9 +159,17 @@
                     }
                 }
                 _ = ticks.tick(), if self.planner.queued() > 0 => self.plan(PlannerEvent::Tick),
-                _ = inventories.tick() => self.read_inventory(),
+                _ = inventories.tick() => {
+                    self.read_inventory();
+                    self.read_load();
+                }
                 // A new holder reads back what its predecessor left.
-                () = board.changed() => self.read_inventory(),
+                Ok(()) = leases.changed() => {
+                    if board.take_lapsed(&self.endpoint) {
+                        self.predecessor.appear();
+                    }
+                    self.read_inventory();
+                }
             }
             self.publish();
         }
@@ -173,6 +188,7 @@
             EngineEvent::LoadEnded(adapter, result) => self.end_load(adapter, result),
             EngineEvent::UnloadEnded(adapter, result) => self.end_unload(adapter, result),
             EngineEvent::Inventory(count, result) => self.take_inventory(count, result),
+            EngineEvent::Load(report) => self.take_load(report),
             EngineEvent::Quiesce(done) => {
                 self.leaving = true;
                 self.quiescing = (self.open_orders > 0).then_some(done);
--- a/crates/amaranth-agent/src/engine_control/handle.rs
+++ b/crates/amaranth-agent/src/engine_control/handle.rs
@@ -4,9 +4,10 @@
 
 use amaranth_core::membership::EndpointReport;
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 
 use super::EngineEvent;
+use crate::announcer::ChangeSignal;
 use crate::clock::AgentClock;
 use crate::decision_log::DecisionLog;
 use crate::lease_keeper::LeaseHandle;
@@ -23,7 +24,7 @@
     /// Asks for leave to load.
     pub permits: Arc<LoadPermits>,
     /// Told when a report changed in a way that entries should learn at once.
-    pub changed: Arc<Notify>,
+    pub changed: Arc<ChangeSignal>,
     /// The tasks that carry out commands.
     pub traffic: TaskGroup,
     /// The leases.
--- a/crates/amaranth-agent/src/engine_control/inventory.rs
+++ b/crates/amaranth-agent/src/engine_control/inventory.rs
@@ -59,13 +59,16 @@
         }
         if self.is_restart(&inventory) {
             self.greet(&inventory);
+        } else if self.shows_foreign_orders(&inventory.adapters) {
+            self.decide("event=foreign_orders_seen");
+            self.lose_lease();
         }
         self.planner
             .resize(inventory.adapter_slots.into(), inventory.batch_slots.into());
         let adapters = inventory.adapters.clone();
         self.inventory = Some(Arc::new(inventory));
         self.plan(PlannerEvent::Inventory(adapters));
-        self.context.changed.notify_one();
+        self.context.changed.raise();
     }
 
     /// Learns what kind of engine this is.
@@ -90,7 +93,7 @@
         if self.inventory.take().is_some() {
             let cause = error.to_string();
             self.decide(&format!("event=engine_lost cause={cause:?}"));
-            self.context.changed.notify_one();
+            self.context.changed.raise();
         }
     }
 }
--- a/crates/amaranth-agent/src/engine_control/orders.rs
+++ b/crates/amaranth-agent/src/engine_control/orders.rs
@@ -9,6 +9,7 @@
 use amaranth_ports::{PortError, PortResult};
 
 use super::{EngineControl, EngineEvent};
+use crate::load_permits::PermitVerdict;
 
 impl EngineControl {
     pub(super) fn request_permit(&self, adapter: AdapterRef, saved_wait_ms: u64) {
@@ -16,8 +17,11 @@
         let endpoint = self.endpoint.clone();
         let permits = self.context.permits.clone();
         self.context.traffic.spawn(async move {
-            permits.acquire(&endpoint, &adapter, saved_wait_ms).await;
-            handle.send(EngineEvent::PermitGranted(adapter)).await;
+            let event = match permits.ask(&endpoint, &adapter, saved_wait_ms).await {
+                PermitVerdict::Granted => EngineEvent::PermitGranted(adapter),
+                PermitVerdict::Delayed(delay) => EngineEvent::PermitDelayed(adapter, delay),
+            };
+            handle.send(event).await;
         });
     }
 
@@ -36,8 +40,11 @@
         let orders = self.orders.clone();
         let permit = self.permit();
         self.decide(&format!("event=load_ordered adapter={adapter}"));
+        let endpoint = self.endpoint.clone();
+        let permits = self.context.permits.clone();
         self.context.traffic.spawn(async move {
-            let result = orders.load(&adapter, permit).await;
+            let loading = orders.load(&adapter, permit);
+            let result = permits.keep_during(&endpoint, &adapter, loading).await;
             handle.send(EngineEvent::LoadEnded(adapter, result)).await;
         });
     }
@@ -47,7 +54,9 @@
         let handle = self.handle.clone();
         let orders = self.orders.clone();
         let permit = self.permit();
-        let order = permit.and_then(|permit| self.pins.evict(&adapter, permit));
+        let order = permit
+            .filter(|_| !self.predecessor.may_run())
+            .and_then(|permit| self.pins.evict(&adapter, permit));
         self.decide(&format!("event=unload_ordered adapter={adapter}"));
         self.context.traffic.spawn(async move {
             let result = match order {
@@ -106,15 +115,20 @@
         let cause = error.to_string();
         self.decide(&format!("event={event} adapter={adapter} cause={cause:?}"));
         if let PortError::Fenced(_) = error {
-            let lease = self.context.lease.clone();
-            let fenced = LeaseEvent::Fenced(self.endpoint.clone());
-            self.context
-                .traffic
-                .spawn(async move { lease.send(fenced).await });
+            self.lose_lease();
         }
         self.read_inventory();
     }
 
+    /// Tells the lease keeper that another process gives the engine orders.
+    pub(super) fn lose_lease(&self) {
+        let lease = self.context.lease.clone();
+        let fenced = LeaseEvent::Fenced(self.endpoint.clone());
+        self.context
+            .traffic
+            .spawn(async move { lease.send(fenced).await });
+    }
+
     pub(super) fn begin_order(&mut self) {
         self.order_count += 1;
         self.open_orders += 1;
@@ -138,6 +152,6 @@
         if resident {
             adapters.push(adapter.clone());
         }
-        self.context.changed.notify_one();
+        self.context.changed.raise();
     }
 }
--- a/crates/amaranth-agent/src/entry_directory.rs
+++ b/crates/amaranth-agent/src/entry_directory.rs
@@ -7,97 +7,79 @@
 
 use amaranth_core::ids::DataCentreName;
 use amaranth_ports::vm_list::{VmListPort, VmRole};
-use amaranth_wire::entry::{EntryRpcClient, connect};
-use tokio::sync::Mutex;
+use arc_swap::ArcSwap;
 
-/// Knows the entries of the data centre and holds a connection to each.
+use crate::entry_link::EntryLink;
+
+/// Links to entries by their addresses.
+pub type EntryLinks = BTreeMap<SocketAddr, Arc<EntryLink>>;
+
+/// Knows the entries of the data centre.
 pub struct EntryDirectory {
     fixed: BTreeSet<SocketAddr>,
     vm_list: Option<Arc<dyn VmListPort>>,
     data_centre: DataCentreName,
     timeout: Duration,
-    listed: Mutex<BTreeSet<SocketAddr>>,
-    clients: Mutex<BTreeMap<SocketAddr, EntryRpcClient>>,
-}
-
-impl std::fmt::Debug for EntryDirectory {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        formatter
-            .debug_struct("EntryDirectory")
-            .field("fixed", &self.fixed)
-            .finish_non_exhaustive()
-    }
+    links: ArcSwap<EntryLinks>,
 }
 
 impl EntryDirectory {
-    /// Opens a directory of the `fixed` entries and those that `vm_list` names.
+    /// Opens a directory of the `fixed` entries and those that `vm_list` names. An entry has
+    /// `timeout` to answer.
     pub fn open(
         fixed: impl IntoIterator<Item = SocketAddr>,
         vm_list: Option<Arc<dyn VmListPort>>,
         data_centre: DataCentreName,
         timeout: Duration,
     ) -> Self {
-        Self {
+        let directory = Self {
             fixed: fixed.into_iter().collect(),
             vm_list,
             data_centre,
             timeout,
-            listed: Mutex::new(BTreeSet::new()),
-            clients: Mutex::new(BTreeMap::new()),
-        }
+            links: ArcSwap::default(),
+        };
+        directory.publish(&BTreeSet::new());
+        directory
+    }
+
+    /// Returns the links to all known entries.
+    pub fn links(&self) -> Arc<EntryLinks> {
+        self.links.load_full()
     }
 
     /// Reads the list of VMs again. Without an answer the entries known before stay.
+    ///
+    /// Leaving entries are kept: they route until they are gone.
     pub async fn refresh(&self) {
         let Some(vm_list) = &self.vm_list else {
             return;
         };
-        let records = match vm_list.list().await {
-            Ok(records) => records,
-            Err(error) => {
-                log::warn!("event=vm_list_lost error={:?}", error.to_string());
-                return;
+        match vm_list.list().await {
+            Ok(records) => {
+                let listed = records
+                    .into_iter()
+                    .filter(|record| record.role == VmRole::Entry)
+                    .filter(|record| record.data_centre == self.data_centre)
+                    .map(|record| record.address)
+                    .collect();
+                self.publish(&listed);
             }
-        };
-        let listed: BTreeSet<SocketAddr> = records
-            .into_iter()
-            .filter(|record| record.role == VmRole::Entry)
-            .filter(|record| record.data_centre == self.data_centre)
-            .map(|record| record.address)
-            .collect();
-        *self.listed.lock().await = listed;
-        let known = self.addresses().await;
-        self.clients
-            .lock()
-            .await
-            .retain(|address, _| known.contains(address));
-    }
-
-    /// Returns the addresses of all known entries.
-    pub async fn addresses(&self) -> BTreeSet<SocketAddr> {
-        let listed = self.listed.lock().await;
-        self.fixed.union(&listed).copied().collect()
-    }
-
-    /// Returns the open connections in the order of their addresses.
-    pub async fn connected(&self) -> Vec<EntryRpcClient> {
-        self.clients.lock().await.values().cloned().collect()
-    }
-
-    /// Returns the connection to `address`, opening one if there is none.
-    pub async fn client(&self, address: SocketAddr) -> Option<EntryRpcClient> {
-        if let Some(client) = self.clients.lock().await.get(&address) {
-            return Some(client.clone());
+            Err(error) => log::warn!("event=vm_list_lost error={:?}", error.to_string()),
         }
-        let client = connect(address, self.timeout).await.ok()?;
-        self.clients.lock().await.insert(address, client.clone());
-        Some(client)
     }
 
-    /// Gives up the connection to `address`, so that the next use opens another.
-    pub async fn abandon(&self, address: SocketAddr) {
-        if self.clients.lock().await.remove(&address).is_some() {
-            log::info!("event=entry_connection_abandoned entry={address}");
-        }
+    /// Publishes links to the fixed and the listed entries, keeping those that are open.
+    fn publish(&self, listed: &BTreeSet<SocketAddr>) {
+        let known = self.links.load();
+        let link = |address: &SocketAddr| {
+            let link = match known.get(address) {
+                Some(link) => link.clone(),
+                None => Arc::new(EntryLink::open(*address, self.timeout)),
+            };
+            (*address, link)
+        };
+        let links = self.fixed.union(listed).map(link).collect();
+        self.links.store(Arc::new(links));
     }
 }
--- a/crates/amaranth-agent/src/lease_keeper.rs
+++ b/crates/amaranth-agent/src/lease_keeper.rs
@@ -1,7 +1,7 @@
 //! Carries out what the lease keeper decides: reads the log, appends records, publishes permits.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+use std::collections::{HashMap, HashSet};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use amaranth_control::lease::keeper::{LeaseCommand, LeaseEvent, LeaseKeeper, LeaseOptions};
@@ -11,7 +11,7 @@
 use amaranth_core::time::Timestamp;
 use amaranth_ports::log::{LogPage, LogPort, LogStream};
 use arc_swap::ArcSwap;
-use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot, watch};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::clock::AgentClock;
@@ -41,7 +41,9 @@
 #[derive(Debug, Default)]
 pub struct LeaseBoard {
     permits: ArcSwap<HashMap<EndpointId, OrderPermit>>,
-    changed: Notify,
+    in_term: ArcSwap<HashSet<EndpointId>>,
+    lapsed: Mutex<HashSet<EndpointId>>,
+    changes: watch::Sender<u64>,
 }
 
 impl LeaseBoard {
@@ -55,9 +57,27 @@
         self.permits.load().contains_key(endpoint)
     }
 
-    /// Returns when a lease was gained or lost.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
+    /// Returns whether the lease on `endpoint` is held and its term has not ended.
+    pub fn in_term(&self, endpoint: &EndpointId) -> bool {
+        self.in_term.load().contains(endpoint)
+    }
+
+    /// Returns, once, whether the lease on `endpoint` was gained from a process that let it lapse.
+    pub fn take_lapsed(&self, endpoint: &EndpointId) -> bool {
+        self.lock_lapsed().remove(endpoint)
+    }
+
+    fn note_lapsed(&self, endpoint: &EndpointId) {
+        self.lock_lapsed().insert(endpoint.clone());
+    }
+
+    fn lock_lapsed(&self) -> MutexGuard<'_, HashSet<EndpointId>> {
+        self.lapsed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns what changes whenever a lease was gained or lost.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
     }
 }
 
@@ -230,16 +250,25 @@
         }
         self.publish(now);
         if moved {
-            self.board.changed.notify_waiters();
+            self.board.changes.send_modify(|count| *count += 1);
         }
     }
 
     fn execute(&self, command: LeaseCommand, done: &mut Option<oneshot::Sender<()>>) {
         match command {
             LeaseCommand::Append(record) => self.append(&record, done.take()),
-            LeaseCommand::Gained(endpoint, token) => self.task.decisions.record(format!(
-                "event=lease_gained endpoint={endpoint} token={token}"
-            )),
+            LeaseCommand::Gained {
+                endpoint,
+                token,
+                lapsed,
+            } => {
+                if lapsed {
+                    self.board.note_lapsed(&endpoint);
+                }
+                self.task.decisions.record(format!(
+                    "event=lease_gained endpoint={endpoint} token={token} lapsed={lapsed}"
+                ));
+            }
             LeaseCommand::Lost(endpoint) => self
                 .task
                 .decisions
@@ -265,10 +294,15 @@
             Some((endpoint.clone(), permit))
         };
         let permits: HashMap<_, _> = self.endpoints.iter().filter_map(permit).collect();
-        for endpoint in &self.endpoints {
-            let state = f64::from(u8::from(self.keeper.in_term(now, endpoint)));
-            metrics::gauge!("amaranth_agent_lease_held", "endpoint" => endpoint.to_string())
-                .set(state);
+        let in_term = |endpoint: &&EndpointId| self.keeper.in_term(now, endpoint);
+        let terms: HashSet<_> = self.endpoints.iter().filter(in_term).cloned().collect();
+        if **self.board.in_term.load() != terms {
+            for endpoint in &self.endpoints {
+                let held = f64::from(u8::from(terms.contains(endpoint)));
+                metrics::gauge!("amaranth_agent_lease_held", "endpoint" => endpoint.to_string())
+                    .set(held);
+            }
+            self.board.in_term.store(Arc::new(terms));
         }
         if **self.board.permits.load() != permits {
             self.board.permits.store(Arc::new(permits));
--- a/crates/amaranth-agent/src/lib.rs
+++ b/crates/amaranth-agent/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod engine_orders;
 pub mod engine_traffic;
 pub mod entry_directory;
+pub mod entry_link;
 pub mod lease_keeper;
 pub mod load_permits;
 pub mod ports;
--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -16,10 +16,10 @@
 use amaranth_wire::transport::{self, PeerTransport, ServerHandle};
 use futures::StreamExt;
 use tarpc::server::{BaseChannel, Channel};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::{interval, sleep};
 
-use crate::announcer::{self, HeardRevision};
+use crate::announcer::{self, ChangeSignal, HeardRevision};
 use crate::answer_store::AnswerStore;
 use crate::clock::AgentClock;
 use crate::control_thread::ControlThread;
@@ -152,7 +152,7 @@
     pub async fn drain(self) {
         self.ready.set(false);
         self.core.start_leaving();
-        announcer::announce(&self.core).await;
+        announcer::announce_to_all(&self.core).await;
         self.drained().await;
         self.core.release_endpoints().await;
         log::info!("event=agent_drained process={}", self.core.identity.process);
@@ -215,7 +215,7 @@
         settings.data_centre.clone(),
         limits.entry_timeout,
     ));
-    let changed = Arc::new(Notify::new());
+    let changed = Arc::new(ChangeSignal::default());
     let decisions = Arc::new(DecisionLog::default());
     let clock = AgentClock::start();
     let holder = LeaseHolder {
@@ -296,7 +296,7 @@
         for service in core.services.values() {
             let ready = service.port.probe().await;
             if service.ready.swap(ready, Ordering::AcqRel) != ready {
-                core.changed.notify_one();
+                core.changed.raise();
             }
         }
     }
--- a/crates/amaranth-agent/src/server.rs
+++ b/crates/amaranth-agent/src/server.rs
@@ -17,10 +17,9 @@
 use amaranth_wire::agent::{AgentRpc, AgentStatus, AnswerRead, ClaimStanding};
 use futures::future::join_all;
 use tarpc::context::Context;
-use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use crate::announcer::HeardRevision;
+use crate::announcer::{ChangeSignal, HeardRevision};
 use crate::answer_store::AnswerStore;
 use crate::decision_log::DecisionLog;
 use crate::engine_control::{EngineEvent, EngineHandle};
@@ -62,7 +61,7 @@
     /// Recent decisions.
     pub decisions: Arc<DecisionLog>,
     /// Told when the entries should learn of a change at once.
-    pub changed: Arc<Notify>,
+    pub changed: Arc<ChangeSignal>,
     /// The newest configuration revision heard of.
     pub revision: HeardRevision,
     /// Whether the agent takes no new work.
@@ -103,7 +102,7 @@
         if !self.leaving.swap(true, Ordering::AcqRel) {
             self.decisions
                 .record(format!("event=leaving process={}", self.identity.process));
-            self.changed.notify_one();
+            self.changed.raise();
         }
     }
 
--- a/crates/amaranth-agent/tests/engine_faults.rs
+++ b/crates/amaranth-agent/tests/engine_faults.rs
@@ -291,3 +291,50 @@
     let (_, end) = agent.complete(request(1, "manifest@3")).await.unwrap();
     assert_eq!(end, AnswerEnd::Complete);
 }
+
+/// A holder that is cut off from the log goes on serving what it dispatched. Its successor takes
+/// over after the term, and evicts nothing under the former holder's request.
+#[rstest]
+#[case::checks(true)]
+#[case::ignores(false)]
+#[tokio::test(start_paused = true)]
+async fn successor_spares_what_a_cut_off_holder_serves(#[case] checks_fencing: bool) {
+    let shape = EngineShape {
+        checks_fencing,
+        adapter_slots: 1,
+        chunks: 30_000,
+        ..EngineShape::default()
+    };
+    let engine = Arc::new(FakeEngine::new(shape));
+    let log = Arc::new(FakeLog::default());
+    let cut_off = Arc::new(log.another_way());
+    let limits = AgentLimits::default;
+    let first = AgentFixture::spawn_on(
+        engine.clone(),
+        cut_off.clone(),
+        settings("agent-1", limits()),
+    );
+    let first = first.await;
+    first.wait_ready().await;
+    let mut long = request(1, "manifest@3");
+    long.time_left = Duration::from_secs(400);
+    let mut other = request(2, "label@1");
+    other.time_left = Duration::from_secs(1_000);
+
+    let served = complete(&first.server, long);
+    let takeover = async {
+        sleep(Duration::from_secs(1)).await;
+        cut_off.down.store(true, Ordering::SeqCst);
+        let second = AgentFixture::spawn_on(engine.clone(), log, settings("agent-2", limits()));
+        let second = second.await;
+        second.wait_ready().await;
+        let (_, end) = complete(&second.server, other).await.unwrap();
+        assert_eq!(end, AnswerEnd::Complete);
+    };
+    let (served, ()) = tokio::join!(served, takeover);
+    let (chunks, end) = served.unwrap();
+    assert_eq!((chunks.len(), end), (30_000, AnswerEnd::Complete));
+    assert_eq!(engine.evicted_in_flight(), []);
+    // The cut off holder saw the other's orders and stopped to take work.
+    assert!(!first.is_ready().await);
+}
--- a/crates/amaranth-agent/tests/fakes/engine.rs
+++ b/crates/amaranth-agent/tests/fakes/engine.rs
@@ -302,7 +302,10 @@
 
     async fn load_report(&self) -> PortResult<EngineLoadReport> {
         self.0.check_up()?;
-        Ok(EngineLoadReport::default())
+        Ok(EngineLoadReport {
+            running: u16::try_from(self.0.running()).unwrap(),
+            ..EngineLoadReport::default()
+        })
     }
 
     async fn cache_events(&self, _after: u64) -> PortResult<Vec<CacheEvent>> {
--- a/crates/amaranth-agent/tests/fakes/log.rs
+++ b/crates/amaranth-agent/tests/fakes/log.rs
@@ -1,8 +1,8 @@
 //! An append-only log in memory.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranth_core::ids::LogOffset;
@@ -12,11 +12,17 @@
 use bytes::Bytes;
 use tokio::sync::Notify;
 
-/// A log whose faults are switched by tests.
+/// What every client of one log shares.
 #[derive(Debug, Default)]
-pub struct FakeLog {
+struct LogStore {
     streams: Mutex<HashMap<LogStream, Vec<Bytes>>>,
     appended: Notify,
+}
+
+/// One client's way to a log. Tests switch its faults.
+#[derive(Debug, Default)]
+pub struct FakeLog {
+    store: Arc<LogStore>,
     /// Whether the log can't be reached.
     pub down: AtomicBool,
     /// Whether appends take effect and their answers are lost.
@@ -24,18 +30,26 @@
 }
 
 impl FakeLog {
+    /// Returns another client's way to the same log.
+    pub fn another_way(&self) -> Self {
+        Self {
+            store: self.store.clone(),
+            ..Self::default()
+        }
+    }
+
     /// Returns the records of a stream.
     pub fn records(&self, stream: LogStream) -> Vec<Bytes> {
-        let streams = self.streams.lock().unwrap();
+        let streams = self.store.streams.lock().unwrap();
         streams.get(&stream).cloned().unwrap_or_default()
     }
 
     /// Appends on behalf of another process.
     pub fn push(&self, stream: LogStream, record: Bytes) -> LogOffset {
-        let mut streams = self.streams.lock().unwrap();
+        let mut streams = self.store.streams.lock().unwrap();
         let records = streams.entry(stream).or_default();
         records.push(record);
-        self.appended.notify_waiters();
+        self.store.appended.notify_waiters();
         LogOffset(records.len() as u64 - 1)
     }
 
@@ -69,7 +83,7 @@
         let kept = self.records(stream);
         if from.0 >= kept.len() as u64 {
             // Appends of other streams wake the reader as well, which a log may do.
-            let _ = tokio::time::timeout(wait, self.appended.notified()).await;
+            let _ = tokio::time::timeout(wait, self.store.appended.notified()).await;
             self.check()?;
         }
         let kept = self.records(stream);
--- a/crates/amaranth-control/src/lease/keeper.rs
+++ b/crates/amaranth-control/src/lease/keeper.rs
@@ -1,6 +1,6 @@
 //! Decides when a process takes, renews and releases the leases on its endpoints.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use amaranth_core::ids::{EndpointId, FencingToken, LogOffset};
@@ -46,7 +46,8 @@
         /// Whether it checks.
         checks_fencing: bool,
     },
-    /// The engine refused an order because it knows a newer number.
+    /// The engine refused an order because it knows a newer number, or shows that another process
+    /// gives it orders.
     Fenced(EndpointId),
     /// No order is in transit and none will be sent: the process is leaving.
     Leaving,
@@ -60,7 +61,15 @@
     /// Append this record. Its answer is of no use: the record counts when it is read back.
     Append(LeaseRecord),
     /// The lease on the endpoint is held from here on.
-    Gained(EndpointId, FencingToken),
+    Gained {
+        /// The endpoint.
+        endpoint: EndpointId,
+        /// The token.
+        token: FencingToken,
+        /// Whether another process held it and let it lapse. It may still serve requests that it
+        /// dispatched, on adapters that must not be evicted under them.
+        lapsed: bool,
+    },
     /// The lease on the endpoint is no longer held.
     Lost(EndpointId),
 }
@@ -95,6 +104,8 @@
     sights: HashMap<EndpointId, LeaseSight>,
     checking: HashMap<EndpointId, bool>,
     not_before: HashMap<EndpointId, Timestamp>,
+    /// Endpoints whose last holder was another process that did not release them.
+    lapsed: HashSet<EndpointId>,
     sent: VecDeque<(u64, Timestamp)>,
     next_attempt: u64,
     last_take: Option<Timestamp>,
@@ -124,6 +135,7 @@
             sights: HashMap::new(),
             checking: HashMap::new(),
             not_before: HashMap::new(),
+            lapsed: HashSet::new(),
             sent: VecDeque::new(),
             next_attempt: 0,
             last_take: None,
@@ -213,9 +225,13 @@
             at: now,
             term: record.term,
         };
+        let foreign = record.holder.process != self.holder.process;
         match change {
             LeaseChange::Taken(endpoint) => {
                 self.sights.insert(endpoint.clone(), sight);
+                if foreign {
+                    self.lapsed.insert(endpoint.clone());
+                }
                 if own {
                     self.win(&endpoint, record, commands);
                 } else {
@@ -224,6 +240,9 @@
             }
             LeaseChange::Renewed(endpoint) => {
                 self.sights.insert(endpoint.clone(), sight);
+                if foreign {
+                    self.lapsed.insert(endpoint.clone());
+                }
                 if own {
                     self.extend(&endpoint, record);
                 } else {
@@ -231,6 +250,7 @@
                 }
             }
             LeaseChange::Released(endpoint) => {
+                self.lapsed.remove(&endpoint);
                 self.sights.insert(endpoint, sight);
             }
             LeaseChange::Void(endpoint) if own => self.void(&endpoint, record, commands),
@@ -263,7 +283,11 @@
             AnyLease::Held(held) => held.lose().claim(record.attempt),
         };
         *lease = AnyLease::Held(claiming.win(token, until));
-        commands.push(LeaseCommand::Gained(endpoint.clone(), token));
+        commands.push(LeaseCommand::Gained {
+            endpoint: endpoint.clone(),
+            token,
+            lapsed: self.lapsed.remove(endpoint),
+        });
     }
 
     fn extend(&mut self, endpoint: &EndpointId, record: &LeaseRecord) {
--- a/crates/amaranth-control/tests/lease_world/mod.rs
+++ b/crates/amaranth-control/tests/lease_world/mod.rs
@@ -241,7 +241,7 @@
                         self.in_transit.push((due, Landing::Append(record)));
                     }
                 }
-                LeaseCommand::Gained(..) | LeaseCommand::Lost(_) => {}
+                LeaseCommand::Gained { .. } | LeaseCommand::Lost(_) => {}
             }
         }
     }
--- a/crates/amaranth-placement/src/planner.rs
+++ b/crates/amaranth-placement/src/planner.rs
@@ -118,6 +118,7 @@
     slots: BTreeMap<AdapterRef, AdapterSlot>,
     queue: VecDeque<PlannedRequest>,
     running: BTreeMap<RequestId, ModelTarget>,
+    delayed: BTreeMap<AdapterRef, Timestamp>,
 }
 
 impl EnginePlanner {
@@ -128,6 +129,7 @@
             slots: BTreeMap::new(),
             queue: VecDeque::new(),
             running: BTreeMap::new(),
+            delayed: BTreeMap::new(),
         }
     }
 
@@ -188,9 +190,11 @@
                     commands.push(PlannerCommand::Load(adapter));
                 }
             }
-            PlannerEvent::PermitDelayed(adapter, _) | PlannerEvent::LoadFailed(adapter) => {
+            PlannerEvent::PermitDelayed(adapter, until) => {
                 self.forget_unpinned(&adapter);
+                self.delayed.insert(adapter, until);
             }
+            PlannerEvent::LoadFailed(adapter) => self.forget_unpinned(&adapter),
             PlannerEvent::Loaded(adapter) => self.hold(adapter, now),
             PlannerEvent::Unloaded(adapter) => self.forget_unpinned(&adapter),
             PlannerEvent::UnloadFailed(adapter) => {
@@ -314,11 +318,13 @@
     }
 
     fn start_loads(&mut self, now: Timestamp, commands: &mut PlannerCommands) {
+        self.delayed.retain(|_, until| *until > now);
         let missing: Vec<AdapterRef> = self
             .queue
             .iter()
             .filter_map(|request| request.target.adapter())
             .filter(|adapter| !self.slots.contains_key(adapter))
+            .filter(|adapter| self.delayed.get(adapter).is_none_or(|until| now >= *until))
             .cloned()
             .collect();
         for adapter in missing {
