--- a/crates/amaranth-lab/src/commands.rs
+++ b/crates/amaranth-lab/src/commands.rs
@@ -6,6 +6,7 @@
 use amaranth_telemetry::usage_exit;
 
 use crate::demo;
+use crate::detect;
 use crate::faults;
 use crate::policy;
 
@@ -16,6 +17,7 @@
 
 Commands:
   demo      Runs both deployments' shapes and checks every promise
+  detect    Compares failure detectors on seeded heartbeats
   faults    Runs a fleet under faults and checks every promise
   policy    Replays placement decisions against baselines
   help      Prints this help
@@ -41,6 +43,7 @@
             ExitCode::SUCCESS
         }
         Some("demo") => demo::run(rest),
+        Some("detect") => detect::run(rest),
         Some("faults") => faults::run(rest),
         Some("policy") => policy::run(rest),
         _ => {
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod checker;
 pub mod commands;
 pub mod demo;
+pub mod detect;
 pub mod faults;
 pub mod fleet;
 pub mod policy;
