--- a/crates/amaranth-lab/src/faults/report.rs
+++ b/crates/amaranth-lab/src/faults/report.rs
@@ -121,7 +121,7 @@
             match serde_json::to_string_pretty(self) {
                 Ok(text) => println!("{text}"),
                 Err(error) => {
-                    eprintln!("amaranth-lab faults: the report can't be encoded: {error}")
+                    eprintln!("amaranth-lab faults: the report can't be encoded: {error}");
                 }
             }
             return;
