Prove the claim desk over arbitrary interleavings

Agents keep their claims in a shared book, which mends two faults: an agent that had forgotten a claim sealed it, and a call that provably did not run was reported as unknown.

--- a/crates/amaranth-agent/src/service_desk.rs
+++ b/crates/amaranth-agent/src/service_desk.rs
@@ -1,61 +1,40 @@
 //! Calls of plain services, those with a claim at most once.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranth_core::errors::{Error, ErrorKind, Result};
+use amaranth_control::claim_book::{BeginVerdict, ClaimBook};
+use amaranth_core::errors::{Error, ErrorKind, Result, internal};
 use amaranth_core::ids::{ClaimId, Incarnation};
 use amaranth_core::request::{ServiceAnswer, ServiceClaim, ServiceRequest};
 use amaranth_ports::PortError;
 use amaranth_ports::service::ServicePort;
 use amaranth_wire::agent::ClaimStanding;
 use tokio::sync::watch;
-use tokio::time::Instant;
 
+use crate::clock::AgentClock;
 use crate::server::ServiceEndpoint;
 use crate::task_group::TaskGroup;
 
-/// What the agent did for a claim.
-#[derive(Debug, Clone)]
-enum ClaimState {
-    Running(watch::Receiver<Option<Result<ServiceAnswer>>>),
-    Ended(Result<ServiceAnswer>),
-    Sealed,
-}
+/// Where the readers of a claim that runs learn its outcome.
+type OutcomeReceiver = watch::Receiver<Option<Result<ServiceAnswer>>>;
 
 /// The claims of this life of the agent.
-#[derive(Debug, Default)]
-struct ClaimBook {
-    states: HashMap<ClaimId, ClaimState>,
-    ended: VecDeque<(Instant, ClaimId)>,
-}
-
-impl ClaimBook {
-    fn end(&mut self, id: ClaimId, state: ClaimState) {
-        self.states.insert(id, state);
-        self.ended.push_back((Instant::now(), id));
-    }
-
-    fn forget_older(&mut self, window: Duration) {
-        let now = Instant::now();
-        while let Some((ended, id)) = self.ended.front()
-            && now.saturating_duration_since(*ended) > window
-        {
-            self.states.remove(id);
-            self.ended.pop_front();
-        }
-    }
+#[derive(Debug)]
+struct DeskBook {
+    book: ClaimBook,
+    outcomes: HashMap<ClaimId, OutcomeReceiver>,
 }
 
 /// Calls plain services.
 #[derive(Debug)]
 pub struct ServiceDesk {
     incarnation: Incarnation,
-    window: Duration,
+    clock: AgentClock,
     tasks: TaskGroup,
-    book: Mutex<ClaimBook>,
+    book: Mutex<DeskBook>,
 }
 
 impl ServiceDesk {
@@ -63,9 +42,12 @@
     pub fn open(incarnation: Incarnation, window: Duration, tasks: TaskGroup) -> Self {
         Self {
             incarnation,
-            window,
+            clock: AgentClock::start(),
             tasks,
-            book: Mutex::new(ClaimBook::default()),
+            book: Mutex::new(DeskBook {
+                book: ClaimBook::open(window),
+                outcomes: HashMap::new(),
+            }),
         }
     }
 
@@ -90,7 +72,7 @@
             // The call outlives its reader: a claim that began ends, whoever still listens.
             self.tasks.spawn(async move {
                 let result = flight.send(&request).await;
-                desk.lock().end(claim.id, ClaimState::Ended(result.clone()));
+                desk.end(claim.id, result.clone());
                 sender.send_replace(Some(result));
             });
         }
@@ -104,28 +86,15 @@
     /// Returns `Fenced` for a claim of another life of this agent, which may have run it.
     pub fn settle(&self, claim: &ServiceClaim) -> Result<ClaimStanding> {
         self.check_incarnation(claim)?;
-        let mut book = self.lock();
-        book.forget_older(self.window);
-        let standing = match book.states.get(&claim.id) {
-            Some(ClaimState::Running(_)) => ClaimStanding::Running,
-            Some(ClaimState::Ended(Ok(answer))) => ClaimStanding::Done(answer.clone()),
-            Some(ClaimState::Ended(Err(_))) => ClaimStanding::Unknown,
-            Some(ClaimState::Sealed) => ClaimStanding::Sealed,
-            None => {
-                book.end(claim.id, ClaimState::Sealed);
-                ClaimStanding::Sealed
-            }
-        };
-        Ok(standing)
+        Ok(self.lock().book.settle(self.clock.now(), claim.id))
     }
 
     /// Returns the number of claims that run.
     pub fn running(&self) -> usize {
-        let book = self.lock();
-        book.states.len() - book.ended.len()
+        self.lock().book.running()
     }
 
-    fn lock(&self) -> MutexGuard<'_, ClaimBook> {
+    fn lock(&self) -> MutexGuard<'_, DeskBook> {
         self.book.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -140,38 +109,38 @@
     }
 
     fn begin(&self, claim: &ServiceClaim) -> Result<ClaimOutcome> {
-        let mut book = self.lock();
-        book.forget_older(self.window);
-        match book.states.get(&claim.id) {
-            Some(ClaimState::Running(receiver)) => Ok(ClaimOutcome::attached(receiver.clone())),
-            Some(ClaimState::Ended(result)) => Err(match result {
-                Ok(answer) => return Ok(ClaimOutcome::known(answer.clone())),
-                Err(error) => error.clone(),
-            }),
-            Some(ClaimState::Sealed) => Err(Error::new(
-                ErrorKind::Fenced,
-                format!("claim {} is sealed and never runs", claim.id),
-            )),
-            None => {
+        let mut desk = self.lock();
+        match desk.book.begin(self.clock.now(), claim.id) {
+            BeginVerdict::Run => {
                 let (sender, receiver) = watch::channel(None);
-                book.states
-                    .insert(claim.id, ClaimState::Running(receiver.clone()));
+                desk.outcomes.insert(claim.id, receiver.clone());
                 let mut outcome = ClaimOutcome::attached(receiver);
                 outcome.sender = Some(sender);
                 Ok(outcome)
             }
+            BeginVerdict::Attach => match desk.outcomes.get(&claim.id) {
+                Some(receiver) => Ok(ClaimOutcome::attached(receiver.clone())),
+                None => Err(internal(format!("claim {} runs unseen", claim.id))),
+            },
+            BeginVerdict::Ended(result) => result.map(ClaimOutcome::known),
         }
     }
+
+    fn end(&self, claim: ClaimId, result: Result<ServiceAnswer>) {
+        let mut desk = self.lock();
+        desk.book.end(self.clock.now(), claim, result);
+        desk.outcomes.remove(&claim);
+    }
 }
 
 /// The outcome of a claim as one reader waits for it.
 struct ClaimOutcome {
     sender: Option<watch::Sender<Option<Result<ServiceAnswer>>>>,
-    receiver: watch::Receiver<Option<Result<ServiceAnswer>>>,
+    receiver: OutcomeReceiver,
 }
 
 impl ClaimOutcome {
-    const fn attached(receiver: watch::Receiver<Option<Result<ServiceAnswer>>>) -> Self {
+    const fn attached(receiver: OutcomeReceiver) -> Self {
         Self {
             sender: None,
             receiver,
--- a/crates/amaranth-control/src/lib.rs
+++ b/crates/amaranth-control/src/lib.rs
@@ -1,14 +1,17 @@
 //! Outcomes and membership as state machines without I/O.
 //!
-//! [`answer_buffer`] keeps an agent's answers until they are acknowledged; [`claim_record`] and
-//! [`claim_ledger`] rule which non-idempotent call may run. [`lease`] decides which process may
-//! give an endpoint orders, and [`pins`] keeps adapters in flight from being evicted. [`membership`] knows which processes
-//! are alive, by the heartbeats that a [`detector`] judges, and [`ranking`] gives them their
-//! duties. [`retry_budget`], [`breaker`] and [`deadline`] bound what is tried again.
+//! [`answer_buffer`] keeps an agent's answers until they are acknowledged, and [`answer_cursor`]
+//! follows one from the entry. [`claim_desk`] runs non-idempotent calls at most once from an
+//! entry, [`claim_book`] at an agent; [`claim_ledger`] rules the records of both. [`lease`]
+//! decides which process may give an endpoint orders, and [`pins`] keeps adapters in flight from
+//! being evicted. [`membership`] knows which processes are alive, by the heartbeats that a
+//! [`detector`] judges, and [`ranking`] gives them their duties. [`retry_budget`], [`breaker`]
+//! and [`deadline`] bound what is tried again.
 
 pub mod answer_buffer;
 pub mod answer_cursor;
 pub mod breaker;
+pub mod claim_book;
 pub mod claim_call;
 pub mod claim_desk;
 pub mod claim_ledger;
--- /dev/null
+++ b/crates/amaranth-control/tests/claims/naive_desk.rs
@@ -0,0 +1,144 @@
+//! A desk without the rules of the real one: it claims, but does not rule.
+
+use std::collections::HashMap;
+
+use amaranth_control::claim_call::{
+    AppendOutcome, ClaimCall, DeskCommand, DeskCommands, DeskEvent, DispatchOutcome,
+};
+use amaranth_control::claim_desk::ClaimDesk;
+use amaranth_control::claim_record::{ClaimBatch, ClaimRecord, ClaimWish};
+use amaranth_core::errors::{Error, ErrorKind};
+use amaranth_core::ids::{ClaimId, LogOffset, RequestId};
+use amaranth_core::time::Timestamp;
+
+/// What a world drives.
+pub trait WorldDesk {
+    fn open() -> Self;
+    fn handle(&mut self, now: Timestamp, event: DeskEvent) -> DeskCommands;
+    fn next_offset(&self) -> LogOffset;
+}
+
+impl WorldDesk for ClaimDesk {
+    fn open() -> Self {
+        ClaimDesk::open(std::time::Duration::from_millis(5))
+    }
+
+    fn handle(&mut self, now: Timestamp, event: DeskEvent) -> DeskCommands {
+        ClaimDesk::handle(self, now, event)
+    }
+
+    fn next_offset(&self) -> LogOffset {
+        ClaimDesk::next_offset(self)
+    }
+}
+
+/// Appends each claim by itself, dispatches it as soon as the append was answered, and sends a
+/// call whose answer was lost again. It never looks for an earlier claim of the key.
+pub struct NaiveDesk {
+    calls: HashMap<RequestId, ClaimCall>,
+    waiting: Vec<ClaimWish>,
+    appending: Option<ClaimWish>,
+}
+
+impl WorldDesk for NaiveDesk {
+    fn open() -> Self {
+        Self {
+            calls: HashMap::new(),
+            waiting: Vec::new(),
+            appending: None,
+        }
+    }
+
+    fn handle(&mut self, now: Timestamp, event: DeskEvent) -> DeskCommands {
+        let mut commands = DeskCommands::new();
+        match event {
+            DeskEvent::Arrived(call) => {
+                commands.push(DeskCommand::Place(call.request));
+                self.calls.insert(call.request, call);
+            }
+            DeskEvent::Placed(request, Ok(place)) => {
+                if let Some(call) = self.calls.get(&request) {
+                    self.waiting.push(ClaimWish {
+                        key: call.key.clone(),
+                        body_digest: call.body_digest,
+                        request,
+                        agent: place.agent,
+                        agent_incarnation: place.incarnation,
+                        endpoint: place.endpoint,
+                    });
+                }
+            }
+            DeskEvent::AppendEnded(outcome) => self.end_append(&outcome, &mut commands),
+            DeskEvent::DispatchEnded(request, outcome) => {
+                self.end_dispatch(request, outcome, &mut commands);
+            }
+            DeskEvent::Tick => self.expire(now, &mut commands),
+            _ => {}
+        }
+        if self.appending.is_none()
+            && let Some(wish) = self.waiting.pop()
+        {
+            self.appending = Some(wish.clone());
+            commands.push(DeskCommand::Append(ClaimBatch {
+                records: vec![ClaimRecord::Claim(wish)],
+            }));
+        }
+        commands
+    }
+
+    fn next_offset(&self) -> LogOffset {
+        LogOffset(0)
+    }
+}
+
+impl NaiveDesk {
+    fn end_append(&mut self, outcome: &AppendOutcome, commands: &mut DeskCommands) {
+        let Some(wish) = self.appending.take() else {
+            return;
+        };
+        match outcome {
+            AppendOutcome::Appended(offset) => {
+                let claim = ClaimId {
+                    offset: *offset,
+                    index: 0,
+                };
+                commands.push(DeskCommand::Dispatch(wish.request, claim, wish));
+            }
+            _ => self.waiting.push(wish),
+        }
+    }
+
+    fn end_dispatch(
+        &mut self,
+        request: RequestId,
+        outcome: DispatchOutcome,
+        commands: &mut DeskCommands,
+    ) {
+        match outcome {
+            DispatchOutcome::Answered(answer) => {
+                if self.calls.remove(&request).is_some() {
+                    commands.push(DeskCommand::Answer(request, Ok(answer)));
+                }
+            }
+            DispatchOutcome::NotRun(_) | DispatchOutcome::Lost => {
+                if self.calls.contains_key(&request) {
+                    commands.push(DeskCommand::Place(request));
+                }
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Timestamp, commands: &mut DeskCommands) {
+        let expired: Vec<_> = self
+            .calls
+            .values()
+            .filter(|call| call.deadline <= now)
+            .map(|call| call.request)
+            .collect();
+        for request in expired {
+            self.calls.remove(&request);
+            let error = Error::new(ErrorKind::DeadlineBeforeStart, "too late");
+            commands.push(DeskCommand::Answer(request, Err(error)));
+        }
+    }
+}
--- a/crates/amaranth-wire/src/agent.rs
+++ b/crates/amaranth-wire/src/agent.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+pub use amaranth_control::claim_book::ClaimStanding;
 use amaranth_core::Result;
 use amaranth_core::ids::{ConfigRevision, EndpointId, RequestId, Sequence};
 use amaranth_core::membership::{EndpointReport, ProcessIdentity};
@@ -25,19 +26,6 @@
     pub wait: Duration,
 }
 
-/// What an agent knows of a claim.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimStanding {
-    /// It never came, and now never will run: the agent refuses it from here on.
-    Sealed,
-    /// It runs.
-    Running,
-    /// It ended with this answer.
-    Done(ServiceAnswer),
-    /// It was sent to the service and the answer was lost.
-    Unknown,
-}
-
 /// What an agent says of itself to operators.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AgentStatus {
