Plan by estimated demand and route by expected wait

Cause: the thin planner evicted by recency, asked for permits without a value and reserved slots while it waited; the thin router scanned every resident list. Change: requests queue by due time, loads ask by the waiting they save, evictions take the least demand (mean gap with a survival factor), pins are typestate; the router keeps an index from adapter to copies and sends cold requests to the cheapest slot of the four first ranked. Tests: planner_events (8) and planner_properties (512 cases); the latter found that a stray LoadFailed reset an ask that was under way, which is mended.

--- a/crates/amaranth-agent/src/engine_control/report.rs
+++ b/crates/amaranth-agent/src/engine_control/report.rs
@@ -42,6 +42,8 @@
                 in_flight: count(self.planner.in_flight()),
                 queued: count(self.planner.queued()),
                 loads_pending: count(loading.len()),
+                spare_slots: count(self.planner.spare_slots()),
+                eviction_cost: self.planner.eviction_cost_rank(self.context.clock.now()),
             },
             resident: self.planner.resident().cloned().collect(),
             loading,
--- a/crates/amaranth-core/src/membership.rs
+++ b/crates/amaranth-core/src/membership.rs
@@ -50,6 +50,10 @@
     pub queued: u16,
     /// Adapter loads waiting for a permit or in transit.
     pub loads_pending: u16,
+    /// Adapter slots that a further load could take.
+    pub spare_slots: u16,
+    /// Demand that the next eviction loses, in requests per million seconds.
+    pub eviction_cost: u32,
 }
 
 /// Everything an agent says about one endpoint.
--- a/crates/amaranth-lab/src/policy/arguments.rs
+++ b/crates/amaranth-lab/src/policy/arguments.rs
@@ -3,10 +3,12 @@
 use std::ffi::OsString;
 use std::path::PathBuf;
 
+use amaranth_placement::presets::PolicyPreset;
 use lexopt::{Arg, ValueExt};
 use miette::{IntoDiagnostic, miette};
 use strum::IntoEnumIterator;
 
+use crate::policy::PolicyName;
 use crate::policy::deployment::DeploymentName;
 use crate::policy::scenario::{self, FaultKind, ReplayScenario, ShiftKind};
 
@@ -20,6 +22,7 @@
   --deployment NAME  tokachi or roata instead of both
   --preset NAME      load-stalls or batch-efficiency instead of each deployment's own
   --scenario NAME    one scenario instead of all
+  --policy NAME      amaranthfield or one baseline instead of all
   --seed NUMBER      one seed instead of 1 to 5
   --quick            one seed, and shifts and faults at one Zipf exponent only
   --trace FILE       CSV with at_ms,adapter,prompt_tokens,output_tokens,deadline_ms
@@ -31,18 +34,17 @@
 /// Seeds of a full run.
 const FULL_SEEDS: std::ops::RangeInclusive<u64> = 1..=5;
 
-/// The names of the presets.
-const PRESETS: [&str; 2] = ["load-stalls", "batch-efficiency"];
-
 /// What to replay and how to report it.
 #[derive(Debug, Clone)]
 pub struct PolicyArguments {
     /// The deployments.
     pub deployments: Vec<DeploymentName>,
     /// The preset, or each deployment's own.
-    pub preset: Option<String>,
+    pub preset: Option<PolicyPreset>,
     /// The seeds.
     pub seeds: Vec<u64>,
+    /// Only this policy.
+    pub policy: Option<PolicyName>,
     /// Only this scenario.
     pub scenario: Option<String>,
     /// A trace in place of the scenarios.
@@ -67,6 +69,7 @@
             deployments: DeploymentName::iter().collect(),
             preset: None,
             seeds: FULL_SEEDS.collect(),
+            policy: None,
             scenario: None,
             trace: None,
             plots: None,
@@ -80,7 +83,8 @@
                     let name: DeploymentName = parsed(&mut parser)?;
                     arguments.deployments = vec![name];
                 }
-                Arg::Long("preset") => arguments.preset = Some(preset(&mut parser)?),
+                Arg::Long("policy") => arguments.policy = Some(parsed(&mut parser)?),
+                Arg::Long("preset") => arguments.preset = Some(parsed(&mut parser)?),
                 Arg::Long("seed") => seed = Some(parsed(&mut parser)?),
                 Arg::Long("scenario") => arguments.scenario = Some(parsed(&mut parser)?),
                 Arg::Long("trace") => arguments.trace = Some(parsed(&mut parser)?),
@@ -102,12 +106,12 @@
     }
 
     /// Returns the preset for a deployment: the one asked for, or what its operators weigh more.
-    pub fn preset_of(&self, deployment: DeploymentName) -> String {
+    pub fn preset_of(&self, deployment: DeploymentName) -> PolicyPreset {
         let own = match deployment {
-            DeploymentName::Tokachi => PRESETS[0],
-            DeploymentName::Roata => PRESETS[1],
+            DeploymentName::Tokachi => PolicyPreset::LoadStalls,
+            DeploymentName::Roata => PolicyPreset::BatchEfficiency,
         };
-        self.preset.clone().unwrap_or_else(|| own.to_owned())
+        self.preset.unwrap_or(own)
     }
 
     /// Returns the scenarios to replay.
@@ -151,14 +155,3 @@
         .and_then(|value| value.parse())
         .into_diagnostic()
 }
-
-fn preset(parser: &mut lexopt::Parser) -> miette::Result<String> {
-    let name: String = parsed(parser)?;
-    if PRESETS.contains(&name.as_str()) {
-        return Ok(name);
-    }
-    Err(miette!(
-        "preset {name:?} is not one of {}",
-        PRESETS.join(", ")
-    ))
-}
--- a/crates/amaranth-lab/src/policy/baseline_engine.rs
+++ b/crates/amaranth-lab/src/policy/baseline_engine.rs
@@ -34,7 +34,7 @@
     options: PlannerOptions,
     rule: VictimRule,
     resident: BTreeMap<AdapterRef, ResidentAdapter>,
-    asking: BTreeSet<AdapterRef>,
+    asking: BTreeMap<AdapterRef, Option<Timestamp>>,
     loading: BTreeSet<AdapterRef>,
     queue: VecDeque<PlannedRequest>,
     running: BTreeMap<RequestId, AdapterRef>,
@@ -47,7 +47,7 @@
             options,
             rule,
             resident: BTreeMap::new(),
-            asking: BTreeSet::new(),
+            asking: BTreeMap::new(),
             loading: BTreeSet::new(),
             queue: VecDeque::new(),
             running: BTreeMap::new(),
@@ -61,7 +61,7 @@
 
     /// Returns whether the adapter is wanted or loading.
     pub fn fetches(&self, adapter: &AdapterRef) -> bool {
-        self.asking.contains(adapter) || self.loading.contains(adapter)
+        self.asking.contains_key(adapter) || self.loading.contains(adapter)
     }
 
     /// Returns the requests dispatched or waiting.
@@ -120,6 +120,7 @@
         self.apply(now, event, &mut commands);
         self.refuse_expired(now, &mut commands);
         self.dispatch_ready(now, &mut commands);
+        self.drop_due_asks(now);
         self.ask_for_missing(&mut commands);
         commands
     }
@@ -130,8 +131,8 @@
             PlannerEvent::Withdrawn(id) => self.queue.retain(|waiting| waiting.id != id),
             PlannerEvent::Finished(id) => self.finish(id),
             PlannerEvent::PermitGranted(adapter) => self.start_load(now, adapter, commands),
-            PlannerEvent::PermitDelayed(adapter, _) => {
-                self.asking.remove(&adapter);
+            PlannerEvent::PermitDelayed(adapter, until) => {
+                self.asking.insert(adapter, Some(until));
             }
             PlannerEvent::LoadFailed(adapter) => {
                 self.loading.remove(&adapter);
@@ -215,6 +216,12 @@
         }
     }
 
+    /// Makes room for asking again where the broker's delay is over.
+    fn drop_due_asks(&mut self, now: Timestamp) {
+        self.asking
+            .retain(|_, until| until.is_none_or(|until| until > now));
+    }
+
     /// Asks for permits in the order in which the requests came, as many as could start.
     fn ask_for_missing(&mut self, commands: &mut PlannerCommands) {
         let mut spare = self.spare_slots();
@@ -227,12 +234,12 @@
                 .adapter()
                 .expect("replayed requests have one");
             if self.resident.contains_key(adapter)
-                || self.asking.contains(adapter)
+                || self.asking.contains_key(adapter)
                 || self.loading.contains(adapter)
             {
                 continue;
             }
-            self.asking.insert(adapter.clone());
+            self.asking.insert(adapter.clone(), None);
             spare -= 1;
             commands.push(PlannerCommand::RequestPermit(adapter.clone(), 0));
         }
--- a/crates/amaranth-lab/src/policy/baseline_fleet.rs
+++ b/crates/amaranth-lab/src/policy/baseline_fleet.rs
@@ -214,7 +214,7 @@
         self.engines[engine].handle(now, event)
     }
 
-    fn report(&self, engine: usize, ready: bool) -> EndpointReport {
+    fn report(&self, _now: Timestamp, engine: usize, ready: bool) -> EndpointReport {
         EndpointReport {
             endpoint: self.names.engines[engine].clone(),
             offer: self.names.offer(&self.size),
--- a/crates/amaranth-lab/src/policy/fleet.rs
+++ b/crates/amaranth-lab/src/policy/fleet.rs
@@ -12,7 +12,8 @@
 use amaranth_placement::planner::{
     EnginePlanner, PlannedRequest, PlannerCommands, PlannerEvent, PlannerOptions,
 };
-use amaranth_placement::router::{EndpointRouter, RouteQuery};
+use amaranth_placement::presets::PolicyPreset;
+use amaranth_placement::router::{EndpointRouter, RouteQuery, RouterOptions};
 use smallvec::SmallVec;
 
 use crate::policy::deployment::{DeploymentSize, TRANSIT_LIMIT};
@@ -39,7 +40,7 @@
     fn handle(&mut self, now: Timestamp, engine: usize, event: PlannerEvent) -> PlannerCommands;
 
     /// Makes the report of an agent.
-    fn report(&self, engine: usize, ready: bool) -> EndpointReport;
+    fn report(&self, now: Timestamp, engine: usize, ready: bool) -> EndpointReport;
 
     /// Asks the broker for a permit.
     fn request_permit(
@@ -150,7 +151,16 @@
 
 impl AmaranthFleet {
     /// Opens the decisions for a deployment.
-    pub fn open(size: DeploymentSize, names: FleetNames, workload: &ReplayWorkload) -> Self {
+    pub fn open(
+        size: DeploymentSize,
+        names: FleetNames,
+        workload: &ReplayWorkload,
+        preset: PolicyPreset,
+    ) -> Self {
+        let router_options = RouterOptions {
+            load_rate: size.load_rate.0,
+            ..preset.router_options()
+        };
         let options = PlannerOptions {
             adapter_slots: size.adapter_slots,
             batch_slots: size.batch_slots,
@@ -160,7 +170,9 @@
             size,
             names,
             requests: workload.requests.clone(),
-            routers: (0..size.entries).map(|_| EndpointRouter::open()).collect(),
+            routers: (0..size.entries)
+                .map(|_| EndpointRouter::with_options(router_options))
+                .collect(),
             planners: (0..size.engines)
                 .map(|_| EnginePlanner::open(options))
                 .collect(),
@@ -188,7 +200,7 @@
         };
         let router = &mut self.routers[arrival.entry];
         let choice = router.route(now, &query)?;
-        router.started(&choice.endpoint);
+        router.started_for(now, &choice.endpoint, &query.target);
         self.names
             .engines
             .iter()
@@ -216,7 +228,7 @@
         self.planners[engine].handle(now, event)
     }
 
-    fn report(&self, engine: usize, ready: bool) -> EndpointReport {
+    fn report(&self, now: Timestamp, engine: usize, ready: bool) -> EndpointReport {
         let planner = &self.planners[engine];
         let loading: Vec<AdapterRef> = planner.loading().cloned().collect();
         EndpointReport {
@@ -227,6 +239,8 @@
                 in_flight: planner.in_flight() as u16,
                 queued: planner.queued() as u16,
                 loads_pending: loading.len() as u16,
+                spare_slots: planner.spare_slots() as u16,
+                eviction_cost: planner.eviction_cost_rank(now),
             },
             resident: planner.resident().cloned().collect(),
             loading,
--- a/crates/amaranth-lab/src/policy/mod.rs
+++ b/crates/amaranth-lab/src/policy/mod.rs
@@ -24,9 +24,10 @@
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use amaranth_placement::presets::PolicyPreset;
 use amaranth_telemetry::usage_exit;
 use miette::IntoDiagnostic;
-use strum::{Display, EnumIter, IntoEnumIterator};
+use strum::{Display, EnumIter, EnumString, IntoEnumIterator};
 
 use crate::policy::arguments::{HELP, PolicyArguments};
 use crate::policy::baseline_fleet::BaselineFleet;
@@ -42,7 +43,7 @@
 const WORKER_LIMIT: usize = 4;
 
 /// A policy that is replayed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumIter)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display, EnumString, EnumIter)]
 #[strum(serialize_all = "kebab-case")]
 pub enum PolicyName {
     /// The product's.
@@ -61,7 +62,7 @@
 #[derive(Debug, Clone)]
 struct PolicyRun {
     deployment: DeploymentName,
-    preset: String,
+    preset: PolicyPreset,
     scenario: ReplayScenario,
     seed: u64,
     policy: PolicyName,
@@ -102,7 +103,9 @@
     for &deployment in &arguments.deployments {
         for scenario in arguments.scenarios() {
             for &seed in &arguments.seeds {
-                for policy in PolicyName::iter() {
+                let replayed =
+                    |policy: &PolicyName| arguments.policy.is_none_or(|only| only == *policy);
+                for policy in PolicyName::iter().filter(replayed) {
                     runs.push(PolicyRun {
                         deployment,
                         preset: arguments.preset_of(deployment),
@@ -129,7 +132,7 @@
     let (outcomes, counts) = replay.run();
     let key = RunKey {
         deployment: run.deployment,
-        preset: run.preset.clone(),
+        preset: run.preset.to_string(),
         scenario: run.scenario.name.to_owned(),
         seed: run.seed,
         policy: run.policy.to_string(),
@@ -145,7 +148,9 @@
 ) -> Box<dyn ReplayFleet> {
     let names = names.clone();
     match run.policy {
-        PolicyName::Amaranthfield => Box::new(AmaranthFleet::open(size, names, workload)),
+        PolicyName::Amaranthfield => {
+            Box::new(AmaranthFleet::open(size, names, workload, run.preset))
+        }
         PolicyName::RandomLru => Box::new(BaselineFleet::random(size, names, workload, run.seed)),
         PolicyName::LeastLoadedLru => Box::new(BaselineFleet::least_loaded(size, names, workload)),
         PolicyName::ConsistentLru => Box::new(BaselineFleet::consistent(size, names, workload)),
--- a/crates/amaranth-lab/src/policy/replay.rs
+++ b/crates/amaranth-lab/src/policy/replay.rs
@@ -409,13 +409,16 @@
         let reply = self
             .fleet
             .request_permit(self.now, engine, &adapter, saved_wait_ms);
-        let (at, event) = match reply {
-            BrokerReply::Granted(_) => (self.now + HOP_TIME, PlannerEvent::PermitGranted(adapter)),
+        let event = match reply {
+            BrokerReply::Granted(_) => PlannerEvent::PermitGranted(adapter),
             BrokerReply::Wait(wait) => {
-                let until = self.now + wait;
-                (until, PlannerEvent::PermitDelayed(adapter, until))
+                let until = self.now + wait.max(HOP_TIME);
+                let event = PlannerEvent::Tick;
+                self.schedule(until, ReplayEvent::Agent { engine, event });
+                PlannerEvent::PermitDelayed(adapter, until)
             }
         };
+        let at = self.now + HOP_TIME;
         self.schedule(at, ReplayEvent::Agent { engine, event });
     }
 
@@ -431,7 +434,7 @@
             if !self.engines[engine].reachable {
                 continue;
             }
-            let report = self.fleet.report(engine, self.engines[engine].up);
+            let report = self.fleet.report(self.now, engine, self.engines[engine].up);
             let event = ReplayEvent::Report { engine, report };
             self.schedule(self.now + REPORT_LAG, event);
         }
--- /dev/null
+++ b/crates/amaranth-placement/src/queue.rs
@@ -0,0 +1,193 @@
+//! The requests that wait at one engine.
+//!
+//! Each request gets a due time when it comes: its arrival, plus the patience of its priority,
+//! plus a little for each request for the same adapter that already waits. Requests are served by
+//! due time. Nothing that comes later than a request's due time can go before it, so no queue
+//! starves, and a burst for one adapter delays the others little.
+
+use std::collections::{BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+use amaranth_core::ids::{AdapterRef, RequestId};
+use amaranth_core::request::RequestPriority;
+use amaranth_core::time::Timestamp;
+
+use crate::planner::PlannedRequest;
+
+/// What each waiting request adds to the due time of the next one for the same adapter.
+const BACKLOG_SPACING: Duration = Duration::from_millis(100);
+
+/// Share of the time to the deadline after which a request is due at the latest.
+const DEADLINE_SHARE: u32 = 2;
+
+/// Returns how long a request of `priority` may be overtaken.
+const fn patience(priority: RequestPriority) -> Duration {
+    match priority {
+        RequestPriority::High => Duration::from_secs(1),
+        RequestPriority::Normal => Duration::from_secs(5),
+        RequestPriority::Low => Duration::from_secs(20),
+    }
+}
+
+/// A waiting request.
+#[derive(Debug, Clone)]
+pub struct QueuedRequest {
+    /// The request.
+    pub request: PlannedRequest,
+    /// When it came.
+    pub arrived: Timestamp,
+    due: Timestamp,
+}
+
+/// The waiting requests for one adapter.
+#[derive(Debug, Clone, Default)]
+struct AdapterQueue {
+    order: BTreeSet<(Timestamp, RequestId)>,
+    /// Sum of the deadlines, in microseconds, from which the sum of the times left follows.
+    deadline_sum: u128,
+}
+
+/// All waiting requests of one engine, indexed by due time, deadline and adapter.
+#[derive(Debug, Clone, Default)]
+pub struct RequestQueue {
+    requests: HashMap<RequestId, QueuedRequest>,
+    by_adapter: HashMap<AdapterRef, AdapterQueue>,
+    ready_adapters: HashSet<AdapterRef>,
+    ready: BTreeSet<(Timestamp, RequestId)>,
+    deadlines: BTreeSet<(Timestamp, RequestId)>,
+}
+
+impl RequestQueue {
+    /// Opens an empty queue.
+    pub fn open() -> Self {
+        Self::default()
+    }
+
+    /// Returns the number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.requests.len()
+    }
+
+    /// Returns whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty()
+    }
+
+    /// Returns the number of requests that could be dispatched if the batch had room.
+    pub fn ready_len(&self) -> usize {
+        self.ready.len()
+    }
+
+    /// Returns the number of requests that wait for `adapter`.
+    pub fn waiting_for(&self, adapter: &AdapterRef) -> usize {
+        self.by_adapter
+            .get(adapter)
+            .map_or(0, |queue| queue.order.len())
+    }
+
+    /// Returns the sum of the times left to the deadlines of the requests for `adapter`.
+    pub fn time_left(&self, now: Timestamp, adapter: &AdapterRef) -> Duration {
+        let Some(queue) = self.by_adapter.get(adapter) else {
+            return Duration::ZERO;
+        };
+        let elapsed = u128::from(now.as_micros()) * queue.order.len() as u128;
+        let micros = queue.deadline_sum.saturating_sub(elapsed);
+        Duration::from_micros(u64::try_from(micros).unwrap_or(u64::MAX))
+    }
+
+    /// Returns the adapters that requests wait for and that are not resident, in no order.
+    pub fn missing(&self) -> impl Iterator<Item = &AdapterRef> {
+        self.by_adapter
+            .keys()
+            .filter(|adapter| !self.ready_adapters.contains(*adapter))
+    }
+
+    /// Adds a request.
+    pub fn push(&mut self, now: Timestamp, request: PlannedRequest) {
+        let id = request.id;
+        if self.requests.contains_key(&id) {
+            return;
+        }
+        let due = self.due(now, &request);
+        let is_ready = match request.target.adapter() {
+            Some(adapter) => {
+                let queue = self.by_adapter.entry(adapter.clone()).or_default();
+                queue.order.insert((due, id));
+                queue.deadline_sum += u128::from(request.deadline.as_micros());
+                self.ready_adapters.contains(adapter)
+            }
+            None => true,
+        };
+        if is_ready {
+            self.ready.insert((due, id));
+        }
+        self.deadlines.insert((request.deadline, id));
+        let queued = QueuedRequest {
+            request,
+            arrived: now,
+            due,
+        };
+        self.requests.insert(id, queued);
+    }
+
+    /// Removes a request, if it waits.
+    pub fn remove(&mut self, id: RequestId) -> Option<QueuedRequest> {
+        let queued = self.requests.remove(&id)?;
+        self.ready.remove(&(queued.due, id));
+        self.deadlines.remove(&(queued.request.deadline, id));
+        if let Some(adapter) = queued.request.target.adapter()
+            && let Some(queue) = self.by_adapter.get_mut(adapter)
+        {
+            queue.order.remove(&(queued.due, id));
+            queue.deadline_sum -= u128::from(queued.request.deadline.as_micros());
+            if queue.order.is_empty() {
+                self.by_adapter.remove(adapter);
+            }
+        }
+        Some(queued)
+    }
+
+    /// Notes whether requests for `adapter` can be dispatched.
+    pub fn set_ready(&mut self, adapter: &AdapterRef, is_ready: bool) {
+        let changed = if is_ready {
+            self.ready_adapters.insert(adapter.clone())
+        } else {
+            self.ready_adapters.remove(adapter)
+        };
+        let Some(queue) = self.by_adapter.get(adapter).filter(|_| changed) else {
+            return;
+        };
+        for &entry in &queue.order {
+            if is_ready {
+                self.ready.insert(entry);
+            } else {
+                self.ready.remove(&entry);
+            }
+        }
+    }
+
+    /// Removes and returns the request that is due first among those that can be dispatched.
+    pub fn pop_ready(&mut self) -> Option<QueuedRequest> {
+        let &(_, id) = self.ready.first()?;
+        self.remove(id)
+    }
+
+    /// Removes and returns one request whose deadline has passed.
+    pub fn pop_expired(&mut self, now: Timestamp) -> Option<QueuedRequest> {
+        let &(deadline, id) = self.deadlines.first()?;
+        if deadline > now {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    fn due(&self, now: Timestamp, request: &PlannedRequest) -> Timestamp {
+        let backlog = request
+            .target
+            .adapter()
+            .map_or(0, |adapter| self.waiting_for(adapter));
+        let backlog = u32::try_from(backlog).unwrap_or(u32::MAX);
+        let delay = patience(request.priority) + BACKLOG_SPACING.saturating_mul(backlog);
+        now + delay.min(request.deadline.since(now) / DEADLINE_SHARE)
+    }
+}
