Record the outcomes of claims from the agent

An entry that dies between dispatch and outcome left a key without one, although the agent knew it. The agent now appends Done records in the background, many to an append, keeps them through an outage, and waits for them when it drains. A draining agent refused a claim that ran as not run: it answers known claims now.

--- /dev/null
+++ b/crates/amaranth-agent/src/claim_outcomes.rs
@@ -0,0 +1,135 @@
+//! Appends the outcomes of claims to the log, in the background and many at a time.
+//!
+//! The agent that ran a call knows its outcome even if the entry that sent it has died, so that a
+//! caller can ask any entry afterwards.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_control::claim_codec;
+use amaranth_control::claim_outbox::ClaimOutbox;
+use amaranth_control::claim_record::ClaimRecord;
+use amaranth_core::request::{ServiceAnswer, ServiceClaim};
+use amaranth_ports::PortError;
+use amaranth_ports::log::{LogPort, LogStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::{sleep, timeout};
+
+use crate::clock::AgentClock;
+use crate::task_group::TaskGroup;
+
+/// Outcomes that wait for the log; further ones are known to the agent alone.
+const WAITING_OUTCOMES: usize = 1_024;
+
+/// Shortest time between two appends.
+const APPEND_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time between two looks whether the next append may start.
+const RETRY_TICK: Duration = Duration::from_millis(50);
+
+/// Takes the outcomes of claims.
+#[derive(Debug, Clone)]
+pub struct OutcomeRecorder {
+    outcomes: mpsc::Sender<ClaimRecord>,
+    unrecorded: watch::Sender<usize>,
+}
+
+impl OutcomeRecorder {
+    /// Spawns the task that appends to `log`.
+    pub fn spawn(tasks: &TaskGroup, log: Arc<dyn LogPort>, clock: AgentClock) -> Self {
+        let (sender, outcomes) = mpsc::channel(WAITING_OUTCOMES);
+        let unrecorded = watch::Sender::new(0);
+        let appender = OutcomeAppender {
+            log,
+            clock,
+            outbox: ClaimOutbox::open(APPEND_INTERVAL),
+            unrecorded: unrecorded.clone(),
+        };
+        tasks.spawn(appender.run(outcomes));
+        Self {
+            outcomes: sender,
+            unrecorded,
+        }
+    }
+
+    /// Returns when the log has every outcome, or after `limit` without some of them.
+    pub async fn flush(&self, limit: Duration) {
+        let mut unrecorded = self.unrecorded.subscribe();
+        let empty = unrecorded.wait_for(|count| *count == 0);
+        if timeout(limit, empty).await.is_err() {
+            let count = *self.unrecorded.borrow();
+            log::warn!("event=outcomes_unrecorded count={count}");
+        }
+    }
+
+    /// Records that `claim` ended with `answer`.
+    pub fn record(&self, claim: &ServiceClaim, answer: &ServiceAnswer) {
+        let record = ClaimRecord::Done {
+            key: claim.key.clone(),
+            claim: claim.id,
+            answer: answer.clone(),
+        };
+        self.unrecorded.send_modify(|count| *count += 1);
+        if self.outcomes.try_send(record).is_err() {
+            self.unrecorded.send_modify(|count| *count -= 1);
+            metrics::counter!("amaranth_agent_outcomes_unrecorded_total").increment(1);
+            log::warn!("event=outcome_unrecorded claim={}", claim.id);
+        }
+    }
+}
+
+/// Appends outcomes to the log.
+struct OutcomeAppender {
+    log: Arc<dyn LogPort>,
+    clock: AgentClock,
+    outbox: ClaimOutbox,
+    unrecorded: watch::Sender<usize>,
+}
+
+impl OutcomeAppender {
+    async fn run(mut self, mut outcomes: mpsc::Receiver<ClaimRecord>) {
+        let mut received = Vec::new();
+        loop {
+            // While the log is out the outbox keeps what it has, and the queue bounds the rest.
+            if self.outbox.is_empty() {
+                if outcomes.recv_many(&mut received, WAITING_OUTCOMES).await == 0 {
+                    return;
+                }
+            } else {
+                sleep(RETRY_TICK).await;
+            }
+            received
+                .drain(..)
+                .for_each(|record| self.outbox.push(record));
+            if let Some(batch) = self.outbox.start_append(self.clock.now()) {
+                let data = claim_codec::encode(&batch);
+                let appended = self.log.append(LogStream::Claims, data).await;
+                let settled = self.settle(appended.err());
+                self.unrecorded.send_modify(|count| *count -= settled);
+            }
+        }
+    }
+
+    /// Tells the outbox what became of an append, and returns the number of records that are done.
+    ///
+    /// An outcome that was appended twice changes nothing, so that a lost answer counts as a
+    /// failure.
+    fn settle(&mut self, failure: Option<PortError>) -> usize {
+        let now = self.clock.now();
+        match failure {
+            None => self.outbox.appended(now).records.len(),
+            Some(PortError::Refused(what)) => match self.outbox.refused(now) {
+                Some(record) => {
+                    log::error!("event=outcome_refused record={record:?} cause={what:?}");
+                    1
+                }
+                None => 0,
+            },
+            Some(error) => {
+                log::warn!("event=outcome_append_failed error={:?}", error.to_string());
+                self.outbox.failed(now, |_| true);
+                0
+            }
+        }
+    }
+}
--- a/crates/amaranth-agent/src/lib.rs
+++ b/crates/amaranth-agent/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod announcer;
 pub mod answer_store;
+pub mod claim_outcomes;
 pub mod clock;
 pub mod control_thread;
 pub mod decision_log;
--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -21,6 +21,7 @@
 
 use crate::announcer::{self, ChangeSignal, HeardRevision};
 use crate::answer_store::AnswerStore;
+use crate::claim_outcomes::OutcomeRecorder;
 use crate::clock::AgentClock;
 use crate::control_thread::ControlThread;
 use crate::decision_log::DecisionLog;
@@ -40,6 +41,9 @@
 /// Time between two looks whether a draining agent is idle.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// Time that the outcomes of claims have to reach the log when the agent ends.
+const FLUSH_LIMIT: Duration = Duration::from_secs(5);
+
 /// Time that a last reader has to fetch the end of its answer again.
 const DRAIN_LINGER: Duration = Duration::from_millis(200);
 
@@ -154,6 +158,7 @@
         self.core.start_leaving();
         announcer::announce_to_all(&self.core).await;
         self.drained().await;
+        self.core.desk.flush(FLUSH_LIMIT).await;
         self.core.release_endpoints().await;
         log::info!("event=agent_drained process={}", self.core.identity.process);
     }
@@ -252,6 +257,7 @@
             identity.incarnation,
             limits.claim_window,
             tasks.clone(),
+            OutcomeRecorder::spawn(tasks, ports.log.clone(), clock),
         )),
         entries,
         lease,
--- a/crates/amaranth-agent/src/server.rs
+++ b/crates/amaranth-agent/src/server.rs
@@ -215,7 +215,11 @@
     }
 
     async fn call_service(self, _: Context, request: ServiceRequest) -> Result<ServiceAnswer> {
-        self.core.check_admission()?;
+        // A claim that came before is answered with its outcome, also while the agent drains.
+        let known = |claim: &ServiceClaim| self.core.desk.knows(claim);
+        if !request.claim.as_ref().is_some_and(known) {
+            self.core.check_admission()?;
+        }
         let endpoint = &request.endpoint;
         let Some(service) = self.core.services.get(endpoint) else {
             return Err(self.core.unknown_endpoint("service", endpoint));
--- a/crates/amaranth-agent/src/service_desk.rs
+++ b/crates/amaranth-agent/src/service_desk.rs
@@ -14,6 +14,7 @@
 use amaranth_wire::agent::ClaimStanding;
 use tokio::sync::watch;
 
+use crate::claim_outcomes::OutcomeRecorder;
 use crate::clock::AgentClock;
 use crate::server::ServiceEndpoint;
 use crate::task_group::TaskGroup;
@@ -34,16 +35,25 @@
     incarnation: Incarnation,
     clock: AgentClock,
     tasks: TaskGroup,
+    recorder: OutcomeRecorder,
     book: Mutex<DeskBook>,
 }
 
 impl ServiceDesk {
     /// Opens a desk that runs claims made for `incarnation` and remembers ended ones for `window`.
-    pub fn open(incarnation: Incarnation, window: Duration, tasks: TaskGroup) -> Self {
+    ///
+    /// Outcomes go to `recorder` as well.
+    pub fn open(
+        incarnation: Incarnation,
+        window: Duration,
+        tasks: TaskGroup,
+        recorder: OutcomeRecorder,
+    ) -> Self {
         Self {
             incarnation,
             clock: AgentClock::start(),
             tasks,
+            recorder,
             book: Mutex::new(DeskBook {
                 book: ClaimBook::open(window),
                 outcomes: HashMap::new(),
@@ -73,12 +83,25 @@
             self.tasks.spawn(async move {
                 let result = flight.send(&request).await;
                 desk.end(claim.id, result.clone());
+                if let Ok(answer) = &result {
+                    desk.recorder.record(&claim, answer);
+                }
                 sender.send_replace(Some(result));
             });
         }
         outcome.wait().await
     }
 
+    /// Returns when the log has every outcome, or after `limit` without some of them.
+    pub async fn flush(&self, limit: Duration) {
+        self.recorder.flush(limit).await;
+    }
+
+    /// Returns whether `claim` came before, so that refusing it as not run would be untrue.
+    pub fn knows(&self, claim: &ServiceClaim) -> bool {
+        claim.agent_incarnation == self.incarnation && self.lock().book.knows(claim.id)
+    }
+
     /// Returns what became of a claim, and seals it if it never came.
     ///
     /// # Errors
--- /dev/null
+++ b/crates/amaranth-agent/tests/claims.rs
@@ -0,0 +1,231 @@
+//! Claims at an agent: at most once, and the truth about what ran. The service's own counter is
+//! the judge.
+
+mod fakes;
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use amaranth_agent::settings::AgentLimits;
+use amaranth_control::claim_codec;
+use amaranth_control::claim_record::ClaimRecord;
+use amaranth_core::ErrorKind;
+use amaranth_core::errors::RunState;
+use amaranth_core::ids::{ClaimId, Incarnation, LogOffset};
+use amaranth_core::request::ServiceClaim;
+use amaranth_ports::log::LogStream;
+use amaranth_wire::agent::{AgentRpc, ClaimStanding};
+use fakes::engine::EngineShape;
+use fakes::fleet::{AgentFixture, booking};
+use tarpc::context;
+use tokio::time::sleep;
+
+const KEY: &str = "wheel-1";
+
+async fn fixture() -> AgentFixture {
+    AgentFixture::spawn(EngineShape::default(), AgentLimits::default()).await
+}
+
+async fn claim(fixture: &AgentFixture) -> ServiceClaim {
+    let status = fixture.server.clone().status(context::current()).await;
+    ServiceClaim {
+        key: KEY.parse().unwrap(),
+        id: ClaimId {
+            offset: LogOffset(3),
+            index: 1,
+        },
+        agent_incarnation: status.identity.incarnation,
+    }
+}
+
+/// The same claim three times at once and once more afterwards: one execution, the same answers.
+#[tokio::test(start_paused = true)]
+async fn claim_runs_once_however_often_it_comes() {
+    let fixture = fixture().await;
+    let claim = claim(&fixture).await;
+    let call = || {
+        fixture
+            .server
+            .clone()
+            .call_service(context::current(), booking(Some(claim.clone())))
+    };
+    let (first, second, third) = tokio::join!(call(), call(), call());
+    let answer = first.unwrap();
+    assert_eq!(
+        (second.unwrap(), third.unwrap()),
+        (answer.clone(), answer.clone())
+    );
+    assert_eq!(call().await.unwrap(), answer);
+    assert_eq!(fixture.service.executions(KEY), 1);
+}
+
+/// A settled claim that never came is sealed: it is refused as not run, and so it stays.
+#[tokio::test(start_paused = true)]
+async fn sealed_claim_never_runs() {
+    let fixture = fixture().await;
+    let claim = claim(&fixture).await;
+    let settled = fixture
+        .server
+        .clone()
+        .settle_claim(context::current(), claim.clone())
+        .await;
+    assert_eq!(settled.unwrap(), ClaimStanding::Sealed);
+    let called = fixture
+        .server
+        .clone()
+        .call_service(context::current(), booking(Some(claim)));
+    let error = called.await.unwrap_err();
+    assert_eq!(error.kind.answer().run, RunState::NotRun);
+    assert_eq!(fixture.service.executions(KEY), 0);
+}
+
+/// A claim of another life is neither run nor sealed.
+#[tokio::test(start_paused = true)]
+async fn claim_of_another_life_is_refused() {
+    let fixture = fixture().await;
+    let mut claim = claim(&fixture).await;
+    claim.agent_incarnation = Incarnation(claim.agent_incarnation.0 ^ 1);
+    let settled = fixture
+        .server
+        .clone()
+        .settle_claim(context::current(), claim.clone())
+        .await;
+    assert_eq!(settled.unwrap_err().kind, ErrorKind::Fenced);
+    let called = fixture
+        .server
+        .clone()
+        .call_service(context::current(), booking(Some(claim)));
+    assert_eq!(called.await.unwrap_err().kind, ErrorKind::Fenced);
+    assert_eq!(fixture.service.executions(KEY), 0);
+}
+
+/// The service acted and its answer was lost: the outcome is unknown, and nothing is tried again.
+#[tokio::test(start_paused = true)]
+async fn lost_answer_is_an_unknown_outcome() {
+    let fixture = fixture().await;
+    let claim = claim(&fixture).await;
+    fixture.service.loses_answers.store(true, Ordering::SeqCst);
+    let call = || {
+        fixture
+            .server
+            .clone()
+            .call_service(context::current(), booking(Some(claim.clone())))
+    };
+    assert_eq!(call().await.unwrap_err().kind, ErrorKind::OutcomeUnknown);
+    fixture.service.loses_answers.store(false, Ordering::SeqCst);
+    assert_eq!(call().await.unwrap_err().kind, ErrorKind::OutcomeUnknown);
+    let settled = fixture
+        .server
+        .clone()
+        .settle_claim(context::current(), claim.clone())
+        .await;
+    assert_eq!(settled.unwrap(), ClaimStanding::Unknown);
+    assert_eq!(fixture.service.executions(KEY), 1);
+}
+
+/// A service that can't be reached did not run the call, and the claim stays refused.
+#[tokio::test(start_paused = true)]
+async fn unreachable_service_is_a_true_refusal() {
+    let fixture = fixture().await;
+    let claim = claim(&fixture).await;
+    fixture.service.down.store(true, Ordering::SeqCst);
+    let call = || {
+        fixture
+            .server
+            .clone()
+            .call_service(context::current(), booking(Some(claim.clone())))
+    };
+    assert_eq!(
+        call().await.unwrap_err().kind.answer().run,
+        RunState::NotRun
+    );
+    fixture.service.down.store(false, Ordering::SeqCst);
+    assert_eq!(
+        call().await.unwrap_err().kind.answer().run,
+        RunState::NotRun
+    );
+    assert_eq!(fixture.service.executions(KEY), 0);
+}
+
+/// A caller that leaves does not stop its call: the outcome is known afterwards, and on the log.
+#[tokio::test(start_paused = true)]
+async fn call_outlives_its_reader_and_its_outcome_is_recorded() {
+    let fixture = fixture().await;
+    let claim = claim(&fixture).await;
+    fixture.log.down.store(true, Ordering::SeqCst);
+    let call = fixture
+        .server
+        .clone()
+        .call_service(context::current(), booking(Some(claim.clone())));
+    let left = tokio::time::timeout(Duration::from_millis(10), call).await;
+    assert!(left.is_err());
+    sleep(Duration::from_secs(1)).await;
+    let settled = fixture
+        .server
+        .clone()
+        .settle_claim(context::current(), claim.clone())
+        .await;
+    let Ok(ClaimStanding::Done(answer)) = settled else {
+        panic!("the call ended as {settled:?}");
+    };
+    assert!(fixture.log.records(LogStream::Claims).is_empty());
+
+    fixture.log.down.store(false, Ordering::SeqCst);
+    sleep(Duration::from_secs(5)).await;
+    let batches = fixture.log.records(LogStream::Claims);
+    let records: Vec<_> = batches
+        .iter()
+        .flat_map(|batch| claim_codec::decode(batch).unwrap().records)
+        .collect();
+    let done = ClaimRecord::Done {
+        key: claim.key,
+        claim: claim.id,
+        answer,
+    };
+    assert_eq!(records, [done]);
+}
+
+/// A draining agent refuses a new claim truly, and answers one that runs.
+#[tokio::test(start_paused = true)]
+async fn drain_answers_the_claims_that_run() {
+    let fixture = fixture().await;
+    let running = claim(&fixture).await;
+    let mut late = running.clone();
+    late.id.index += 1;
+    late.key = "wheel-2".parse().unwrap();
+    let server = fixture.server.clone();
+    let call = |claim: &ServiceClaim| {
+        server
+            .clone()
+            .call_service(context::current(), booking(Some(claim.clone())))
+    };
+    let first = tokio::spawn(call(&running));
+    sleep(Duration::from_millis(10)).await;
+    let drained = tokio::spawn(fixture.process.drain());
+    sleep(Duration::from_millis(10)).await;
+    assert_eq!(call(&late).await.unwrap_err().kind, ErrorKind::Draining);
+    let again = call(&running).await.unwrap();
+    assert_eq!(first.await.unwrap().unwrap(), again);
+    drained.await.unwrap();
+    assert_eq!(
+        (
+            fixture.service.executions(KEY),
+            fixture.service.executions("wheel-2")
+        ),
+        (1, 0)
+    );
+}
+
+/// Calls without a claim may be repeated, and are not remembered.
+#[tokio::test(start_paused = true)]
+async fn call_without_a_claim_runs_each_time() {
+    let fixture = fixture().await;
+    for _ in 0..2 {
+        let called = fixture
+            .server
+            .clone()
+            .call_service(context::current(), booking(None));
+        assert_eq!(called.await.unwrap().status, 200);
+    }
+    assert_eq!(fixture.service.executions(""), 2);
+}
--- a/crates/amaranth-control/src/claim_book.rs
+++ b/crates/amaranth-control/src/claim_book.rs
@@ -69,6 +69,11 @@
         self.claims.len() - self.ended.len()
     }
 
+    /// Returns whether a claim came before, or may have come and be forgotten.
+    pub fn knows(&self, claim: ClaimId) -> bool {
+        self.claims.contains_key(&claim) || self.may_be_forgotten(claim)
+    }
+
     /// Takes a claim that was sent to the agent.
     pub fn begin(&mut self, now: Timestamp, claim: ClaimId) -> BeginVerdict {
         self.forget_older(now);
--- a/crates/amaranth-entry/src/claim_codec.rs
+++ b/crates/amaranth-control/src/claim_codec.rs
@@ -1,6 +1,6 @@
 //! The bytes of claim batches in the log.
 
-use amaranth_control::claim_record::ClaimBatch;
+use crate::claim_record::ClaimBatch;
 use bytes::Bytes;
 
 /// The format of the batches that this release writes.
--- a/crates/amaranth-control/src/lib.rs
+++ b/crates/amaranth-control/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod breaker;
 pub mod claim_book;
 pub mod claim_call;
+pub mod claim_codec;
 pub mod claim_desk;
 pub mod claim_ledger;
 pub mod claim_outbox;
--- a/crates/amaranth-entry/src/claim_tail.rs
+++ b/crates/amaranth-entry/src/claim_tail.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use amaranth_control::claim_call::{ClaimPage, DeskEvent};
+use amaranth_control::claim_codec::{self, BatchFault};
 use amaranth_control::claim_record::ClaimBatch;
 use amaranth_core::ids::LogOffset;
 use amaranth_core::time::MonotonicClock;
@@ -12,7 +13,6 @@
 use tokio::sync::mpsc;
 
 use crate::claim_client::ClaimTaskEvent;
-use crate::claim_codec::{self, BatchFault};
 
 /// Most records that one read returns.
 const PAGE_RECORDS: usize = 256;
--- a/crates/amaranth-entry/src/claim_task.rs
+++ b/crates/amaranth-entry/src/claim_task.rs
@@ -8,6 +8,7 @@
 use amaranth_control::claim_call::{
     AppendOutcome, ClaimPlace, DeskCommand, DeskEvent, DispatchOutcome,
 };
+use amaranth_control::claim_codec;
 use amaranth_control::claim_desk::ClaimDesk;
 use amaranth_control::claim_record::{ClaimBatch, ClaimWish};
 use amaranth_core::errors::{Result, internal};
@@ -20,7 +21,6 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::claim_client::{ClaimTaskEvent, ClaimedCall};
-use crate::claim_codec;
 use crate::claim_dispatch::{dispatch, settle};
 use crate::claim_tail::{self, ClaimTail};
 use crate::entry_state::EntryState;
--- a/crates/amaranth-entry/src/lib.rs
+++ b/crates/amaranth-entry/src/lib.rs
@@ -7,7 +7,6 @@
 pub mod agent_link;
 pub mod answer_reader;
 pub mod claim_client;
-pub mod claim_codec;
 pub mod claim_dispatch;
 pub mod claim_tail;
 pub mod claim_task;
