--- a/crates/amaranth-control/src/membership.rs
+++ b/crates/amaranth-control/src/membership.rs
@@ -64,14 +64,22 @@
 }
 
 impl DirectoryOptions {
-    /// Returns options for the processes of one data centre.
-    pub const fn of_data_centre(data_centre: DataCentreName) -> Self {
+    /// Returns options for the processes of all data centres that announce themselves.
+    pub const fn unscoped() -> Self {
         Self {
-            data_centre: Some(data_centre),
+            data_centre: None,
             suspicion_time: Duration::from_secs(10),
             memory_time: Duration::from_secs(60),
         }
     }
+
+    /// Returns options for the processes of one data centre.
+    pub fn of_data_centre(data_centre: DataCentreName) -> Self {
+        Self {
+            data_centre: Some(data_centre),
+            ..Self::unscoped()
+        }
+    }
 }
 
 /// Knows the processes of a scope.
--- a/crates/amaranth-entry/src/directory.rs
+++ b/crates/amaranth-entry/src/directory.rs
@@ -7,6 +7,10 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 
+use amaranth_control::detector::FixedDetector;
+use amaranth_control::membership::{
+    DirectoryOptions, MemberChange, MemberDirectory, MemberEvent, MemberState,
+};
 use amaranth_core::errors::{Error, ErrorKind, Result};
 use amaranth_core::ids::{EndpointId, ProcessId, ServiceName};
 use amaranth_core::membership::{AgentAnnouncement, ProcessIdentity};
@@ -131,17 +135,20 @@
 /// The snapshot that is current now.
 pub type CurrentDirectory = Arc<ArcSwap<DirectorySnapshot>>;
 
-/// One agent as its last announcement describes it.
-struct KnownAgent {
-    announcement: AgentAnnouncement,
-    heard: Timestamp,
+/// The agents by their announcements.
+type AgentDirectory = MemberDirectory<AgentAnnouncement, FixedDetector>;
+
+/// The connection to one life of an agent.
+struct AgentWay {
+    identity: ProcessIdentity,
     link: Arc<AgentLink>,
 }
 
 /// Owns what is known of the agents.
 pub struct DirectoryOwner {
     times: PeerTimes,
-    agents: BTreeMap<ProcessId, KnownAgent>,
+    agents: AgentDirectory,
+    ways: BTreeMap<ProcessId, AgentWay>,
     counts: BTreeMap<EndpointId, Arc<AtomicU32>>,
     published: CurrentDirectory,
 }
@@ -149,9 +156,11 @@
 impl DirectoryOwner {
     /// Opens a directory that knows no agent.
     pub fn open(times: PeerTimes) -> Self {
+        let detector = FixedDetector::open(times.announcement_timeout);
         Self {
             times,
-            agents: BTreeMap::new(),
+            agents: AgentDirectory::open(DirectoryOptions::unscoped(), detector),
+            ways: BTreeMap::new(),
             counts: BTreeMap::new(),
             published: Arc::default(),
         }
@@ -162,52 +171,46 @@
         Arc::clone(&self.published)
     }
 
-    /// Takes an announcement, unless a later one of the same agent came before it.
+    /// Takes an announcement, unless the directory knows a newer one.
     pub fn announce(&mut self, now: Timestamp, announcement: AgentAnnouncement) {
-        let process = announcement.identity.process.clone();
-        let known = self.agents.get(&process);
-        if known.is_some_and(|known| is_older(&announcement, &known.announcement)) {
+        self.handle(now, MemberEvent::Announced(announcement.into()));
+    }
+
+    /// Looks for agents that were silent for too long.
+    pub fn tick(&mut self, now: Timestamp) {
+        self.handle(now, MemberEvent::Tick);
+    }
+
+    fn handle(&mut self, now: Timestamp, event: MemberEvent<AgentAnnouncement>) {
+        let changes = self.agents.handle(now, event);
+        if changes.is_empty() {
             return;
         }
-        let link = match known {
-            Some(known) if known.announcement.identity == announcement.identity => {
-                Arc::clone(&known.link)
-            }
-            _ => {
-                let identity = &announcement.identity;
-                log::info!(
-                    "event=agent_found agent={process} incarnation={} address={}",
-                    identity.incarnation,
-                    identity.address
-                );
-                Arc::new(AgentLink::open(
-                    identity.address,
-                    self.times.connect_timeout,
-                ))
-            }
-        };
-        let agent = KnownAgent {
-            announcement,
-            heard: now,
-            link,
-        };
-        self.agents.insert(process, agent);
+        for change in &changes {
+            log_change(change);
+        }
+        self.keep_ways();
         self.publish(now);
     }
 
-    /// Drops the agents that were silent for too long.
-    pub fn tick(&mut self, now: Timestamp) {
-        let limit = self.times.announcement_timeout;
-        let count = self.agents.len();
-        self.agents.retain(|process, agent| {
-            let alive = now.since(agent.heard) < limit;
-            if !alive {
-                log::warn!("event=agent_lost agent={process}");
+    /// Keeps one connection to the present life of each known agent.
+    fn keep_ways(&mut self) {
+        let agents = &self.agents;
+        self.ways.retain(|process, _| agents.get(process).is_some());
+        for agent in agents.known() {
+            let identity = agent.identity();
+            let known = self.ways.get(&identity.process);
+            if known.is_some_and(|way| way.identity == *identity) {
+                continue;
             }
-            alive
-        });
-        if self.agents.len() != count {
-            self.publish(now);
+            let way = AgentWay {
+                identity: identity.clone(),
+                link: Arc::new(AgentLink::open(
+                    identity.address,
+                    self.times.connect_timeout,
+                )),
+            };
+            self.ways.insert(identity.process.clone(), way);
         }
     }
 
@@ -216,20 +219,24 @@
             router: EndpointRouter::open(),
             ..DirectorySnapshot::default()
         };
-        for (process, agent) in &self.agents {
-            let identity = agent.announcement.identity.clone();
-            let way = (identity.clone(), Arc::clone(&agent.link));
-            snapshot.agents.insert(process.clone(), way);
-            snapshot.announcements.push(agent.announcement.clone());
-            if agent.announcement.leaving {
+        for agent in self.agents.known() {
+            let identity = agent.identity();
+            let Some(way) = self.ways.get(&identity.process) else {
+                continue;
+            };
+            // A suspected or leaving agent gets no new work, but can still be asked about old.
+            let link = (identity.clone(), Arc::clone(&way.link));
+            snapshot.agents.insert(identity.process.clone(), link);
+            snapshot.announcements.push(agent.payload().clone());
+            if agent.state() != MemberState::Live {
                 continue;
             }
-            for report in &agent.announcement.endpoints {
+            for report in &agent.payload().endpoints {
                 let count = self.counts.entry(report.endpoint.clone()).or_default();
                 let handle = EndpointHandle {
                     endpoint: report.endpoint.clone(),
                     agent: identity.clone(),
-                    link: Arc::clone(&agent.link),
+                    link: Arc::clone(&way.link),
                     in_flight: Arc::clone(count),
                 };
                 snapshot.endpoints.insert(report.endpoint.clone(), handle);
@@ -240,8 +247,15 @@
     }
 }
 
-/// Returns whether `announcement` was made before `known` by the same life of the agent.
-fn is_older(announcement: &AgentAnnouncement, known: &AgentAnnouncement) -> bool {
-    announcement.identity.incarnation == known.identity.incarnation
-        && announcement.sequence <= known.sequence
+/// Logs a change that operators look for.
+fn log_change(change: &MemberChange) {
+    match change {
+        MemberChange::Updated(_) => {}
+        MemberChange::Joined(agent) => log::info!("event=agent_joined agent={agent}"),
+        MemberChange::Replaced(agent) => log::info!("event=agent_replaced agent={agent}"),
+        MemberChange::Leaving(agent) => log::info!("event=agent_leaving agent={agent}"),
+        MemberChange::Restored(agent) => log::info!("event=agent_restored agent={agent}"),
+        MemberChange::Suspected(agent) => log::warn!("event=agent_suspected agent={agent}"),
+        MemberChange::Gone(agent) => log::warn!("event=agent_gone agent={agent}"),
+    }
 }
