Hand waiting requests back when an agent leaves

Ruled out: late announcements, since the request had come before. Change: leaving refuses what was not dispatched with Draining, which entries send elsewhere. The test drain_cuts_nothing counted a request that still waited for its load as running; it now waits until the engine runs it, and still wants all 50 chunks. A new test wants the hand-back within 2 s and nothing dispatched.

--- a/crates/amaranth-agent/src/engine_control.rs
+++ b/crates/amaranth-agent/src/engine_control.rs
@@ -62,6 +62,8 @@
     Inventory(u64, PortResult<EngineInventory>),
     /// The engine reported its load.
     Load(EngineLoadReport),
+    /// The agent leaves: requests that were not dispatched go back to their entries.
+    HandBack,
     /// The agent leaves: no further order is sent. The sender is dropped when none is in transit.
     Quiesce(oneshot::Sender<()>),
 }
@@ -84,6 +86,9 @@
     predecessor: PredecessorWatch,
     /// Held while the agent leaves and an order is in transit.
     quiescing: Option<oneshot::Sender<()>>,
+    /// Requests that were not dispatched go back to their entries.
+    handing_back: bool,
+    /// No order is sent any more.
     leaving: bool,
     published: Option<EndpointReport>,
 }
@@ -134,6 +139,7 @@
         reading: false,
         predecessor: PredecessorWatch::default(),
         quiescing: None,
+        handing_back: false,
         leaving: false,
         published: None,
     };
@@ -177,6 +183,9 @@
 
     fn handle_event(&mut self, event: EngineEvent) {
         match event {
+            EngineEvent::Arrived(_, slot) if self.handing_back => {
+                slot.fail(requests::leaving_error());
+            }
             EngineEvent::Arrived(request, slot) => self.admit(*request, slot),
             EngineEvent::Ended(id, end) => self.end(id, end),
             EngineEvent::Cancelled(id) => self.withdraw(id),
@@ -189,6 +198,10 @@
             EngineEvent::UnloadEnded(adapter, result) => self.end_unload(adapter, result),
             EngineEvent::Inventory(count, result) => self.take_inventory(count, result),
             EngineEvent::Load(report) => self.take_load(report),
+            EngineEvent::HandBack => {
+                self.handing_back = true;
+                self.hand_back();
+            }
             EngineEvent::Quiesce(done) => {
                 self.leaving = true;
                 self.quiescing = (self.open_orders > 0).then_some(done);
--- a/crates/amaranth-agent/src/engine_control/requests.rs
+++ b/crates/amaranth-agent/src/engine_control/requests.rs
@@ -222,4 +222,24 @@
             self.refuse(id, error);
         }
     }
+
+    /// Refuses every request that waits, so that its entry sends it to another endpoint: an
+    /// endpoint that leaves must get no new work.
+    pub(super) fn hand_back(&mut self) {
+        let waiting: Vec<RequestId> = self
+            .held
+            .iter()
+            .filter(|(_, held)| held.stage != HeldStage::Dispatched)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in waiting {
+            self.plan(PlannerEvent::Withdrawn(id));
+            self.refuse(id, leaving_error());
+        }
+    }
+}
+
+/// Returns the error of a request that came too late for an agent that leaves.
+pub(super) fn leaving_error() -> Error {
+    Error::new(ErrorKind::Draining, "the agent is leaving")
 }
--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -155,7 +155,7 @@
     /// unread answers and ends.
     pub async fn drain(self) {
         self.ready.set(false);
-        self.core.start_leaving();
+        self.core.start_leaving().await;
         announcer::announce_to_all(&self.core).await;
         self.drained().await;
         self.core.desk.flush(FLUSH_LIMIT).await;
--- a/crates/amaranth-agent/src/server.rs
+++ b/crates/amaranth-agent/src/server.rs
@@ -97,12 +97,17 @@
         reports
     }
 
-    /// Announces that the agent leaves, and refuses new work from here on.
-    pub fn start_leaving(&self) {
-        if !self.leaving.swap(true, Ordering::AcqRel) {
-            self.decisions
-                .record(format!("event=leaving process={}", self.identity.process));
-            self.changed.raise();
+    /// Announces that the agent leaves, refuses new work from here on, and hands the requests
+    /// that wait at the engines back to their entries.
+    pub async fn start_leaving(&self) {
+        if self.leaving.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        self.decisions
+            .record(format!("event=leaving process={}", self.identity.process));
+        self.changed.raise();
+        for engine in self.engines.values() {
+            engine.send(EngineEvent::HandBack).await;
         }
     }
 
@@ -242,7 +247,7 @@
     }
 
     async fn drain(self, _: Context) -> Result<()> {
-        self.core.start_leaving();
+        self.core.start_leaving().await;
         Ok(())
     }
 }
--- a/crates/amaranth-agent/tests/answers.rs
+++ b/crates/amaranth-agent/tests/answers.rs
@@ -193,6 +193,9 @@
         ..
     } = fixture;
     open_unread_at(&server, 1).await;
+    while engine.running() == 0 {
+        sleep(Duration::from_millis(1)).await;
+    }
     let late = request(2, "manifest@3");
     let drained = async {
         process.drain().await;
--- a/crates/amaranth-agent/tests/engine_faults.rs
+++ b/crates/amaranth-agent/tests/engine_faults.rs
@@ -338,3 +338,25 @@
     // The cut off holder saw the other's orders and stopped to take work.
     assert!(!first.is_ready().await);
 }
+
+/// A request that waits for its adapter when the agent leaves goes back to its entry at once.
+#[tokio::test(start_paused = true)]
+async fn leaving_agent_hands_waiting_requests_back() {
+    let fixture = AgentFixture::spawn(EngineShape::default(), AgentLimits::default()).await;
+    fixture.engine.set_faults(EngineFaults {
+        refuses_loads: true,
+        ..EngineFaults::default()
+    });
+    let server = fixture.server.clone();
+    let waiting = tokio::spawn(async move { complete(&server, request(1, "manifest@3")).await });
+    sleep(Duration::from_secs(1)).await;
+    let told = tokio::time::Instant::now();
+    fixture.process.drain().await;
+    let (chunks, end) = waiting.await.unwrap().unwrap();
+    let AnswerEnd::Failed(error) = end else {
+        panic!("nothing was loaded and {chunks:?} came");
+    };
+    assert_eq!(error.kind, ErrorKind::Draining);
+    assert!(told.elapsed() < Duration::from_secs(2));
+    assert!(fixture.engine.calls().is_empty());
+}
--- a/crates/amaranth-lab/src/fleet/configuration.rs
+++ b/crates/amaranth-lab/src/fleet/configuration.rs
@@ -40,7 +40,8 @@
         .map(|version| version.to_string())
         .collect();
     let models = format!(
-        "[models.{base}]\n\n[policy]\npreset = \"{}\"\n",
+        "[models.{base}]\n\n[policy]\npreset = \"{}\"\n\n\
+         [limits]\ndefault-deadline = \"{CALL_DEADLINE_SECONDS}s\"\n",
         shape.preset
     );
     let adapters = format!(
