Route by exact own counts, breakers and a retry budget

Every request is a visit: counted at the router at once, so that two requests in a row see each other, and told to the endpoint's breaker when it ends. Load permits come from the placement crate's broker with the configured limits; an ask whose turn comes within 750 ms is held, because asking again late lost every other start.

--- a/crates/amaranth-entry/src/answer_reader.rs
+++ b/crates/amaranth-entry/src/answer_reader.rs
@@ -8,13 +8,13 @@
 };
 use amaranth_core::errors::{Error, ErrorKind, Result};
 use amaranth_core::ids::{EndpointId, RequestId, Sequence};
-use amaranth_core::request::{AnswerBatch, CompletionRequest};
+use amaranth_core::request::{AnswerBatch, AnswerEnd, CompletionRequest};
 use amaranth_placement::router::RouteQuery;
 use amaranth_wire::agent::AnswerRead;
 use smallvec::SmallVec;
 
 use crate::agent_link::{AgentLink, LinkError};
-use crate::directory::{EndpointHandle, InFlightGuard};
+use crate::endpoint_visit::EndpointVisit;
 use crate::entry_state::EntryState;
 
 /// Pause before a connection that was lost is replaced.
@@ -26,7 +26,7 @@
     Routed {
         request: Box<CompletionRequest>,
         excluded: SmallVec<[EndpointId; 2]>,
-        _in_flight: InFlightGuard,
+        visit: EndpointVisit,
     },
     /// It was opened through another entry or an earlier call.
     Attached,
@@ -46,22 +46,22 @@
 }
 
 impl AnswerReader {
-    /// Opens the answer to `request` at `handle`, the first choice.
+    /// Opens the answer to `request` at the endpoint of `visit`, the first choice.
     pub fn open(
         state: Arc<EntryState>,
         request: CompletionRequest,
-        handle: &EndpointHandle,
+        visit: EndpointVisit,
         deadline: Instant,
     ) -> Self {
         let id = request.id;
         Self {
             state,
             id,
-            link: Arc::clone(&handle.link),
+            link: Arc::clone(visit.link()),
             source: AnswerSource::Routed {
                 request: Box::new(request),
                 excluded: SmallVec::new(),
-                _in_flight: handle.enter(),
+                visit,
             },
             cursor: AnswerCursor::open(id, CursorLimits::default()),
             step: CursorStep::Open,
@@ -119,6 +119,7 @@
                 );
                 tokio::time::sleep(RECONNECT_PAUSE).await;
             }
+            self.note_outcome(&event);
             let CursorMove { chunks, step } = self.cursor.handle(event);
             self.step = step;
             if !chunks.is_empty() {
@@ -162,36 +163,56 @@
         Ok(cursor_event(reply))
     }
 
+    /// Tells the endpoint's breaker how the last step ended.
+    fn note_outcome(&mut self, event: &CursorEvent) {
+        let AnswerSource::Routed { visit, .. } = &mut self.source else {
+            return;
+        };
+        match event {
+            CursorEvent::Batch(batch) => match &batch.end {
+                Some(AnswerEnd::Failed(error)) => visit.failed(error.kind),
+                Some(AnswerEnd::Complete) | None => visit.answered(),
+            },
+            CursorEvent::Refused(error) => visit.failed(error.kind),
+            CursorEvent::ConnectionLost(_) => visit.failed(ErrorKind::EndpointUnreachable),
+        }
+    }
+
     /// Turns to another endpoint, and stops what may still run at the last one.
     fn choose_another(&mut self, reason: Error) -> Result<()> {
         self.cancel();
         let AnswerSource::Routed {
             request,
             excluded,
-            _in_flight,
+            visit,
         } = &mut self.source
         else {
             return Err(reason);
         };
+        if !self.state.retries.withdraw() {
+            log::warn!("event=retry_budget_spent request={}", self.id);
+            return Err(reason);
+        }
         excluded.push(request.endpoint.clone());
         let query = RouteQuery {
             target: request.target.clone(),
             excluded: excluded.clone(),
         };
-        let directory = self.state.directory.load();
-        let Ok((handle, route_reason)) = directory.route(self.state.clock.now(), &query) else {
+        let Ok((next, route_reason)) = self.state.directory.visit(&query) else {
             return Err(reason);
         };
-        log::info!(
-            "event=answer_retried request={} from={} to={} reason={route_reason} cause={reason}",
+        self.state.decisions.note(format!(
+            "event=answer_retried request={} from={} to={} reason={route_reason} cause={}",
             self.id,
             request.endpoint,
-            handle.endpoint
-        );
+            next.endpoint(),
+            reason.kind
+        ));
         metrics::counter!("amaranth_entry_retries_total").increment(1);
-        request.endpoint = handle.endpoint.clone();
-        *_in_flight = handle.enter();
-        self.link = handle.link;
+        request.endpoint = next.endpoint().clone();
+        self.link = Arc::clone(next.link());
+        *visit = next;
+        self.opened = false;
         Ok(())
     }
 
--- a/crates/amaranth-entry/src/claim_dispatch.rs
+++ b/crates/amaranth-entry/src/claim_dispatch.rs
@@ -30,9 +30,9 @@
 }
 
 fn way_to(state: &EntryState, wish: &ClaimWish) -> ClaimWay {
-    match state.directory.load().agent(&wish.agent) {
-        Some((identity, link)) if identity.incarnation == wish.agent_incarnation => {
-            ClaimWay::Open(Arc::clone(link))
+    match state.directory.agent(&wish.agent) {
+        Some(agent) if agent.identity.incarnation == wish.agent_incarnation => {
+            ClaimWay::Open(agent.link)
         }
         Some(_) => ClaimWay::Gone,
         None => ClaimWay::Unknown,
@@ -54,14 +54,24 @@
     let Some(claim) = call.claim.clone() else {
         return DispatchOutcome::NotRun(amaranth_core::errors::internal("the call has no claim"));
     };
+    let handle = state.directory.endpoint(&wish.endpoint);
+    let mut visit = handle.and_then(|handle| state.directory.visit_service(&handle));
     let timeout = call.time_left + OUTCOME_GRACE;
     let calling = link.call(timeout, |client, context| async move {
         client.call_service(context, call).await
     });
-    tokio::select! {
+    let outcome = tokio::select! {
         reply = calling => dispatch_outcome(reply),
         outcome = watch_over(state, &link, &claim) => outcome,
+    };
+    if let Some(visit) = &mut visit {
+        match &outcome {
+            DispatchOutcome::Answered(_) => visit.answered(),
+            DispatchOutcome::NotRun(error) => visit.failed(error.kind),
+            DispatchOutcome::Lost => visit.failed(ErrorKind::EndpointUnreachable),
+        }
     }
+    outcome
 }
 
 fn dispatch_outcome(reply: Result<ServiceAnswer, LinkError>) -> DispatchOutcome {
--- a/crates/amaranth-entry/src/claim_task.rs
+++ b/crates/amaranth-entry/src/claim_task.rs
@@ -173,8 +173,8 @@
             .calls
             .get(&request)
             .ok_or_else(|| internal(format!("call {request} is not open")))?;
-        let directory = self.state.directory.load();
-        let handle = directory.route_service(&open.request.service, &open.refused_by)?;
+        let directory = &self.state.directory;
+        let handle = directory.choose_service(&open.request.service, &open.refused_by)?;
         Ok(ClaimPlace {
             agent: handle.agent.process,
             incarnation: handle.agent.incarnation,
--- a/crates/amaranth-entry/src/control_thread.rs
+++ b/crates/amaranth-entry/src/control_thread.rs
@@ -3,9 +3,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_config::catalogue::Catalogue;
+use amaranth_config::entries::PolicyPreset as ConfiguredPreset;
 use amaranth_core::membership::AgentAnnouncement;
 use amaranth_follow::PreparedFollower;
-use tokio::sync::mpsc;
+use amaranth_placement::presets::PolicyPreset;
+use amaranth_placement::router::RouterOptions;
+use tokio::sync::{mpsc, oneshot};
 use tokio_util::sync::CancellationToken;
 
 use crate::claim_client::ClaimTaskEvent;
@@ -25,6 +29,8 @@
 pub enum ControlEvent {
     /// An agent announced itself.
     Announced(AgentAnnouncement),
+    /// Someone wants the last announcement of each agent.
+    ListAgents(oneshot::Sender<Vec<AgentAnnouncement>>),
 }
 
 /// What the control thread owns.
@@ -77,9 +83,29 @@
                 Some(ControlEvent::Announced(announcement)) => {
                     directory.announce(state.clock.now(), announcement);
                 }
+                Some(ControlEvent::ListAgents(reply)) => {
+                    // Whoever asked may have left.
+                    let _ = reply.send(directory.announcements());
+                }
                 None => return,
             },
-            _ = ticks.tick() => directory.tick(state.clock.now()),
+            _ = ticks.tick() => {
+                let now = state.clock.now();
+                directory.set_policy(now, policy_options(&state.catalogue.load()));
+                directory.tick(now);
+            }
         }
     }
 }
+
+/// Returns the router's options of the configured policy and store.
+fn policy_options(catalogue: &Catalogue) -> RouterOptions {
+    let preset = match catalogue.policy() {
+        ConfiguredPreset::LoadStalls => PolicyPreset::LoadStalls,
+        ConfiguredPreset::BatchEfficiency => PolicyPreset::BatchEfficiency,
+    };
+    RouterOptions {
+        load_rate: catalogue.limits().store_loads.0,
+        ..preset.router_options()
+    }
+}
--- a/crates/amaranth-entry/src/directory.rs
+++ b/crates/amaranth-entry/src/directory.rs
@@ -1,26 +1,33 @@
 //! The agents and endpoints that this entry knows.
 //!
-//! One control task owns the [`DirectoryOwner`] and publishes immutable snapshots; traffic reads
-//! the latest one and never waits for control.
+//! The control thread owns the membership and publishes who can be reached as immutable
+//! snapshots. The router's own counts must be exact between two requests, so it stands beside the
+//! snapshots behind a lock that is held for one decision or one report at a time.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
+use amaranth_control::breaker::{BreakerOptions, CircuitBreaker};
 use amaranth_control::detector::FixedDetector;
 use amaranth_control::membership::{
     DirectoryOptions, MemberChange, MemberDirectory, MemberEvent, MemberState,
 };
 use amaranth_core::errors::{Error, ErrorKind, Result};
-use amaranth_core::ids::{EndpointId, ProcessId, ServiceName};
+use amaranth_core::ids::{EndpointId, ModelName, ProcessId, ServiceName};
 use amaranth_core::membership::{AgentAnnouncement, ProcessIdentity};
-use amaranth_core::time::Timestamp;
-use amaranth_placement::router::{EndpointRouter, RouteQuery, RouteReason};
+use amaranth_core::request::ModelTarget;
+use amaranth_core::time::{MonotonicClock, Timestamp};
+use amaranth_placement::router::{EndpointRouter, RouteQuery, RouteReason, RouterOptions};
 use arc_swap::ArcSwap;
 
 use crate::agent_link::AgentLink;
+use crate::endpoint_visit::EndpointVisit;
 use crate::settings::PeerTimes;
 
+/// When a caller should come back if no endpoint is reachable: breakers probe again by then.
+const NO_ENDPOINT_RETRY: Duration = Duration::from_secs(1);
+
 /// An endpoint with the way to it.
 #[derive(Clone)]
 pub struct EndpointHandle {
@@ -30,232 +37,305 @@
     pub agent: ProcessIdentity,
     /// The connection to the agent.
     pub link: Arc<AgentLink>,
-    in_flight: Arc<AtomicU32>,
+    /// Keeps calls away while the endpoint fails.
+    pub breaker: Arc<Mutex<CircuitBreaker>>,
 }
 
-impl EndpointHandle {
-    /// Counts a request at the endpoint until the returned guard is dropped.
-    pub fn enter(&self) -> InFlightGuard {
-        self.in_flight.fetch_add(1, Ordering::Relaxed);
-        InFlightGuard {
-            count: Arc::clone(&self.in_flight),
-        }
-    }
-}
-
-/// One request in flight at an endpoint.
-pub struct InFlightGuard {
-    count: Arc<AtomicU32>,
+/// An agent with the way to it.
+#[derive(Clone)]
+pub struct AgentHandle {
+    /// Who it is.
+    pub identity: ProcessIdentity,
+    /// The connection to it.
+    pub link: Arc<AgentLink>,
 }
 
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.count.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Who can be reached.
+#[derive(Default)]
+struct DirectorySnapshot {
+    endpoints: BTreeMap<EndpointId, EndpointHandle>,
+    agents: BTreeMap<ProcessId, AgentHandle>,
 }
 
 /// What traffic sees of the agents.
-#[derive(Clone, Default)]
-pub struct DirectorySnapshot {
-    router: EndpointRouter,
-    endpoints: BTreeMap<EndpointId, EndpointHandle>,
-    agents: BTreeMap<ProcessId, (ProcessIdentity, Arc<AgentLink>)>,
-    announcements: Vec<AgentAnnouncement>,
+pub struct Directory {
+    clock: MonotonicClock,
+    snapshot: ArcSwap<DirectorySnapshot>,
+    router: Mutex<EndpointRouter>,
 }
 
-impl DirectorySnapshot {
-    /// Returns the endpoint for a completion and why it was chosen.
+impl Directory {
+    fn open(clock: MonotonicClock) -> Self {
+        Self {
+            clock,
+            snapshot: ArcSwap::default(),
+            router: Mutex::new(EndpointRouter::open()),
+        }
+    }
+
+    /// Chooses the endpoint of a completion, and counts the request there until the visit ends.
     ///
     /// # Errors
     ///
     /// `NoEndpoint` if none that is left serves the base model.
-    pub fn route(
-        &self,
-        now: Timestamp,
-        query: &RouteQuery,
-    ) -> Result<(EndpointHandle, RouteReason)> {
-        let no_endpoint = || {
-            let base = query.target.base();
-            Error::new(
-                ErrorKind::NoEndpoint,
-                format!("no reachable endpoint serves model {base}"),
-            )
-        };
-        let choice = self.router.route(now, query).ok_or_else(no_endpoint)?;
-        let handle = self
-            .endpoints
-            .get(&choice.endpoint)
-            .ok_or_else(no_endpoint)?;
-        Ok((handle.clone(), choice.reason))
+    pub fn visit(self: &Arc<Self>, query: &RouteQuery) -> Result<(EndpointVisit, RouteReason)> {
+        let now = self.clock.now();
+        let snapshot = self.snapshot.load();
+        let mut query = query.clone();
+        let mut router = self.lock_router();
+        while let Some(choice) = router.route(now, &query) {
+            let handle = snapshot.endpoints.get(&choice.endpoint);
+            let passed = handle.and_then(|handle| EndpointVisit::begin(self, handle, now));
+            if let Some(visit) = passed {
+                router.started_for(now, &choice.endpoint, &query.target);
+                return Ok((visit, choice.reason));
+            }
+            query.excluded.push(choice.endpoint);
+        }
+        Err(no_endpoint_for(query.target.base()))
     }
 
-    /// Returns an instance of a plain service.
+    /// Chooses an instance of a plain service.
     ///
     /// # Errors
     ///
     /// `NoEndpoint` if none is left.
-    pub fn route_service(
+    pub fn choose_service(
         &self,
         service: &ServiceName,
         excluded: &[EndpointId],
     ) -> Result<EndpointHandle> {
-        self.router
-            .route_service(service, excluded)
-            .and_then(|endpoint| self.endpoints.get(&endpoint))
-            .cloned()
-            .ok_or_else(|| {
-                Error::new(
-                    ErrorKind::NoEndpoint,
-                    format!("no reachable instance of service {service}"),
-                )
-            })
+        let now = self.clock.now();
+        let snapshot = self.snapshot.load();
+        let mut excluded = excluded.to_vec();
+        let router = self.lock_router();
+        while let Some(endpoint) = router.route_service(service, &excluded) {
+            match snapshot.endpoints.get(&endpoint) {
+                Some(handle) if lock_breaker(&handle.breaker).would_pass(now) => {
+                    return Ok(handle.clone());
+                }
+                _ => excluded.push(endpoint),
+            }
+        }
+        let message = format!("no reachable instance of service {service}");
+        Err(Error::new(ErrorKind::NoEndpoint, message).with_retry_after(NO_ENDPOINT_RETRY))
     }
 
-    /// Returns the connection to an agent, if it is known.
-    pub fn agent(&self, process: &ProcessId) -> Option<&(ProcessIdentity, Arc<AgentLink>)> {
-        self.agents.get(process)
+    /// Returns the endpoint of that name, if its agent is not taken for dead.
+    pub fn endpoint(&self, endpoint: &EndpointId) -> Option<EndpointHandle> {
+        self.snapshot.load().endpoints.get(endpoint).cloned()
+    }
+
+    /// Counts a call at `handle` until the visit ends, or returns nothing if its breaker is open.
+    pub fn visit_service(self: &Arc<Self>, handle: &EndpointHandle) -> Option<EndpointVisit> {
+        let visit = EndpointVisit::begin(self, handle, self.clock.now())?;
+        self.lock_router().started(&handle.endpoint);
+        Some(visit)
+    }
+
+    /// Returns the agent of that name, if it is not taken for dead.
+    pub fn agent(&self, process: &ProcessId) -> Option<AgentHandle> {
+        self.snapshot.load().agents.get(process).cloned()
     }
 
     /// Returns the connections to all agents.
-    pub fn agents(&self) -> impl Iterator<Item = &Arc<AgentLink>> {
-        self.agents.values().map(|(_, link)| link)
+    pub fn links(&self) -> Vec<Arc<AgentLink>> {
+        let snapshot = self.snapshot.load();
+        let agents = snapshot.agents.values();
+        agents.map(|agent| Arc::clone(&agent.link)).collect()
     }
 
-    /// Returns the number of endpoints that agents have announced.
+    /// Returns the number of endpoints that can be reached.
     pub fn endpoint_count(&self) -> usize {
-        self.endpoints.len()
+        self.snapshot.load().endpoints.len()
     }
 
-    /// Returns the last announcement of each agent.
-    pub fn announcements(&self) -> &[AgentAnnouncement] {
-        &self.announcements
+    /// Returns the time as the directory sees it.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Notes that a visit ended.
+    pub(crate) fn finished(&self, endpoint: &EndpointId) {
+        self.lock_router().finished(endpoint);
     }
-}
 
-/// The snapshot that is current now.
-pub type CurrentDirectory = Arc<ArcSwap<DirectorySnapshot>>;
+    fn lock_router(&self) -> MutexGuard<'_, EndpointRouter> {
+        self.router.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
 
-/// The agents by their announcements.
-type AgentDirectory = MemberDirectory<AgentAnnouncement, FixedDetector>;
+/// Locks a breaker for one decision.
+pub(crate) fn lock_breaker(breaker: &Mutex<CircuitBreaker>) -> MutexGuard<'_, CircuitBreaker> {
+    breaker.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
-/// The connection to one life of an agent.
-struct AgentWay {
-    identity: ProcessIdentity,
-    link: Arc<AgentLink>,
+fn no_endpoint_for(base: &ModelName) -> Error {
+    let message = format!("no reachable endpoint serves model {base}");
+    Error::new(ErrorKind::NoEndpoint, message).with_retry_after(NO_ENDPOINT_RETRY)
 }
 
-/// Owns what is known of the agents.
+/// Owns what is known of the agents. It lives on the control thread.
 pub struct DirectoryOwner {
     times: PeerTimes,
-    agents: AgentDirectory,
-    ways: BTreeMap<ProcessId, AgentWay>,
-    counts: BTreeMap<EndpointId, Arc<AtomicU32>>,
-    published: CurrentDirectory,
+    policy: RouterOptions,
+    members: MemberDirectory<AgentAnnouncement, FixedDetector>,
+    links: BTreeMap<ProcessId, AgentHandle>,
+    breakers: BTreeMap<EndpointId, Arc<Mutex<CircuitBreaker>>>,
+    directory: Arc<Directory>,
 }
 
 impl DirectoryOwner {
     /// Opens a directory that knows no agent.
-    pub fn open(times: PeerTimes) -> Self {
+    pub fn open(times: PeerTimes, clock: MonotonicClock) -> Self {
         let detector = FixedDetector::open(times.announcement_timeout);
         Self {
             times,
-            agents: AgentDirectory::open(DirectoryOptions::unscoped(), detector),
-            ways: BTreeMap::new(),
-            counts: BTreeMap::new(),
-            published: Arc::default(),
+            policy: RouterOptions::default(),
+            members: MemberDirectory::open(DirectoryOptions::unscoped(), detector),
+            links: BTreeMap::new(),
+            breakers: BTreeMap::new(),
+            directory: Arc::new(Directory::open(clock)),
         }
     }
 
-    /// Returns where snapshots are published.
-    pub fn published(&self) -> CurrentDirectory {
-        Arc::clone(&self.published)
+    /// Returns what traffic sees.
+    pub fn directory(&self) -> Arc<Directory> {
+        Arc::clone(&self.directory)
     }
 
-    /// Takes an announcement, unless the directory knows a newer one.
+    /// Returns the last announcement of each agent that is not taken for dead.
+    pub fn announcements(&self) -> Vec<AgentAnnouncement> {
+        let known = self.members.known();
+        known.map(|member| member.payload().clone()).collect()
+    }
+
+    /// Takes an announcement, unless a later one of the same agent came before it.
     pub fn announce(&mut self, now: Timestamp, announcement: AgentAnnouncement) {
         self.handle(now, MemberEvent::Announced(announcement.into()));
     }
 
+    /// Weighs by another policy from now on. The router starts anew from the known reports.
+    pub fn set_policy(&mut self, now: Timestamp, options: RouterOptions) {
+        if self.policy == options {
+            return;
+        }
+        self.policy = options;
+        *self.directory.lock_router() = EndpointRouter::with_options(options);
+        let known: Vec<_> = self.links.keys().cloned().collect();
+        for process in &known {
+            self.put_reports(now, process);
+        }
+    }
+
     /// Looks for agents that were silent for too long.
     pub fn tick(&mut self, now: Timestamp) {
         self.handle(now, MemberEvent::Tick);
     }
 
     fn handle(&mut self, now: Timestamp, event: MemberEvent<AgentAnnouncement>) {
-        let changes = self.agents.handle(now, event);
-        if changes.is_empty() {
-            return;
-        }
+        let changes = self.members.handle(now, event);
         for change in &changes {
-            log_change(change);
+            self.take_change(now, change);
+        }
+        if !changes.is_empty() {
+            self.publish();
         }
-        self.keep_ways();
-        self.publish(now);
     }
 
-    /// Keeps one connection to the present life of each known agent.
-    fn keep_ways(&mut self) {
-        let agents = &self.agents;
-        self.ways.retain(|process, _| agents.get(process).is_some());
-        for agent in agents.known() {
-            let identity = agent.identity();
-            let known = self.ways.get(&identity.process);
-            if known.is_some_and(|way| way.identity == *identity) {
-                continue;
+    fn take_change(&mut self, now: Timestamp, change: &MemberChange) {
+        match change {
+            MemberChange::Joined(process) | MemberChange::Replaced(process) => {
+                log::info!("event=agent_found agent={process}");
+                self.links.remove(process);
+                self.put_reports(now, process);
+            }
+            MemberChange::Updated(process) => self.put_reports(now, process),
+            MemberChange::Restored(process) => {
+                log::info!("event=agent_restored agent={process}");
+                self.put_reports(now, process);
+            }
+            MemberChange::Leaving(process) => {
+                log::info!("event=agent_leaving agent={process}");
+                self.drop_reports(process);
+            }
+            MemberChange::Suspected(process) => {
+                log::warn!("event=agent_suspected agent={process}");
+                self.drop_reports(process);
+            }
+            MemberChange::Gone(process) => {
+                log::warn!("event=agent_lost agent={process}");
+                self.drop_reports(process);
+                self.links.remove(process);
             }
-            let way = AgentWay {
-                identity: identity.clone(),
-                link: Arc::new(AgentLink::open(
-                    identity.address,
-                    self.times.connect_timeout,
-                )),
-            };
-            self.ways.insert(identity.process.clone(), way);
         }
     }
 
-    fn publish(&mut self, now: Timestamp) {
-        let mut snapshot = DirectorySnapshot {
-            router: EndpointRouter::open(),
-            ..DirectorySnapshot::default()
+    /// Gives the router the reports of an agent that takes new work.
+    fn put_reports(&mut self, now: Timestamp, process: &ProcessId) {
+        let Some(member) = self.members.get(process) else {
+            return;
         };
-        for agent in self.agents.known() {
-            let identity = agent.identity();
-            let Some(way) = self.ways.get(&identity.process) else {
-                continue;
-            };
-            // A suspected or leaving agent gets no new work, but can still be asked about old.
-            let link = (identity.clone(), Arc::clone(&way.link));
-            snapshot.agents.insert(identity.process.clone(), link);
-            snapshot.announcements.push(agent.payload().clone());
-            if agent.state() != MemberState::Live {
-                continue;
+        if member.state() != MemberState::Live {
+            return self.drop_reports(process);
+        }
+        let mut router = self.directory.lock_router();
+        for report in &member.payload().endpoints {
+            router.report(now, report.clone());
+        }
+    }
+
+    fn drop_reports(&self, process: &ProcessId) {
+        let snapshot = self.directory.snapshot.load();
+        let mut router = self.directory.lock_router();
+        for handle in snapshot.endpoints.values() {
+            if handle.agent.process == *process {
+                router.remove(&handle.endpoint);
             }
-            for report in &agent.payload().endpoints {
-                let count = self.counts.entry(report.endpoint.clone()).or_default();
+        }
+    }
+
+    /// Publishes who can be reached, if that changed.
+    fn publish(&mut self) {
+        let mut snapshot = DirectorySnapshot::default();
+        for member in self.members.known() {
+            let identity = member.identity();
+            let agent = self
+                .links
+                .entry(identity.process.clone())
+                .or_insert_with(|| AgentHandle {
+                    identity: identity.clone(),
+                    link: Arc::new(AgentLink::open(
+                        identity.address,
+                        self.times.connect_timeout,
+                    )),
+                })
+                .clone();
+            for report in &member.payload().endpoints {
+                let breaker = self
+                    .breakers
+                    .entry(report.endpoint.clone())
+                    .or_insert_with(|| {
+                        Arc::new(Mutex::new(CircuitBreaker::open(BreakerOptions::default())))
+                    });
                 let handle = EndpointHandle {
                     endpoint: report.endpoint.clone(),
                     agent: identity.clone(),
-                    link: Arc::clone(&way.link),
-                    in_flight: Arc::clone(count),
+                    link: Arc::clone(&agent.link),
+                    breaker: Arc::clone(breaker),
                 };
                 snapshot.endpoints.insert(report.endpoint.clone(), handle);
-                snapshot.router.report(now, report.clone());
             }
+            snapshot.agents.insert(identity.process.clone(), agent);
         }
-        self.published.store(Arc::new(snapshot));
+        self.directory.snapshot.store(Arc::new(snapshot));
     }
 }
 
-/// Logs a change that operators look for.
-fn log_change(change: &MemberChange) {
-    match change {
-        MemberChange::Updated(_) => {}
-        MemberChange::Joined(agent) => log::info!("event=agent_joined agent={agent}"),
-        MemberChange::Replaced(agent) => log::info!("event=agent_replaced agent={agent}"),
-        MemberChange::Leaving(agent) => log::info!("event=agent_leaving agent={agent}"),
-        MemberChange::Restored(agent) => log::info!("event=agent_restored agent={agent}"),
-        MemberChange::Suspected(agent) => log::warn!("event=agent_suspected agent={agent}"),
-        MemberChange::Gone(agent) => log::warn!("event=agent_gone agent={agent}"),
+/// Returns the query for the first try of a request.
+pub fn first_query(target: ModelTarget) -> RouteQuery {
+    RouteQuery {
+        target,
+        excluded: smallvec::SmallVec::new(),
     }
 }
--- a/crates/amaranth-entry/src/entry_state.rs
+++ b/crates/amaranth-entry/src/entry_state.rs
@@ -13,8 +13,9 @@
 use crate::claim_client::ClaimClient;
 use crate::config_tail::CurrentCatalogue;
 use crate::decision_log::DecisionLog;
-use crate::directory::CurrentDirectory;
+use crate::directory::Directory;
 use crate::readiness::EntryReadiness;
+use crate::retry_budget::SharedRetryBudget;
 use crate::settings::EntrySettings;
 
 /// Shared by the HTTP routes, the tarpc service and the control thread.
@@ -26,7 +27,9 @@
     /// The clock of this process.
     pub clock: MonotonicClock,
     /// The agents.
-    pub directory: CurrentDirectory,
+    pub directory: Arc<Directory>,
+    /// What may be spent on retries.
+    pub retries: SharedRetryBudget,
     /// The configuration.
     pub catalogue: CurrentCatalogue,
     /// The configuration's source, from which other entries start.
--- a/crates/amaranth-entry/src/http/completions.rs
+++ b/crates/amaranth-entry/src/http/completions.rs
@@ -8,7 +8,6 @@
 use amaranth_core::request::{CompletionApi, CompletionRequest};
 use amaranth_core::trace::TraceContext;
 use amaranth_core::units::TokenCount;
-use amaranth_placement::router::RouteQuery;
 use amaranth_telemetry::spans::HopSpan;
 use axum::body::Body;
 use axum::extract::{Request, State};
@@ -17,12 +16,12 @@
 use bytes::Bytes;
 use futures::stream;
 use serde_json::{Map, Value, json};
-use smallvec::SmallVec;
 
 use super::api_errors::{AnswerLabels, ApiError, error_json};
 use super::request_head::{RequestHead, new_request_id, read_body};
 use super::whole_answers::WholeAnswer;
 use crate::answer_reader::AnswerReader;
+use crate::directory::first_query;
 use crate::entry_state::{AdmittedRequest, EntryState};
 
 /// The last event of a whole stream.
@@ -222,22 +221,22 @@
 impl AcceptedCompletion {
     /// Chooses an endpoint and begins to read the answer from there.
     fn open_reader(self, state: &Arc<EntryState>) -> Result<AnswerReader> {
-        let query = RouteQuery {
-            target: self.resolved.target.clone(),
-            excluded: SmallVec::new(),
-        };
-        let directory = state.directory.load();
-        let (handle, reason) = directory.route(state.clock.now(), &query)?;
+        let query = first_query(self.resolved.target.clone());
+        let (visit, reason) = state.directory.visit(&query)?;
+        state.retries.deposit();
         state.decisions.note(format!(
             "event=request_routed request={} model={} revision={} endpoint={} reason={reason}",
-            self.id, self.resolved.target, self.resolved.revision, handle.endpoint
+            self.id,
+            self.resolved.target,
+            self.resolved.revision,
+            visit.endpoint()
         ));
         let deadline = self.head.deadline;
-        let request = self.into_request(handle.endpoint.clone());
+        let request = self.into_request(visit.endpoint().clone());
         Ok(AnswerReader::open(
             Arc::clone(state),
             request,
-            &handle,
+            visit,
             deadline,
         ))
     }
--- a/crates/amaranth-entry/src/http/requests.rs
+++ b/crates/amaranth-entry/src/http/requests.rs
@@ -68,15 +68,15 @@
     id: RequestId,
     from: Sequence,
 ) -> Option<Arc<AgentLink>> {
-    let directory = state.directory.load_full();
+    let links = state.directory.links();
     let timeout = state.settings.peers.silence;
     let read = AnswerRead {
         id,
         from,
         wait: Duration::ZERO,
     };
-    let mut asking: FuturesUnordered<_> = directory
-        .agents()
+    let mut asking: FuturesUnordered<_> = links
+        .iter()
         .map(|link| async move {
             let reply = link.call(timeout, |client, context| async move {
                 client.read_answer(context, read).await
--- a/crates/amaranth-entry/src/http/services.rs
+++ b/crates/amaranth-entry/src/http/services.rs
@@ -21,6 +21,7 @@
 use super::api_errors::{AnswerLabels, ApiError};
 use super::request_head::{RequestHead, new_request_id, read_body};
 use crate::agent_link::LinkError;
+use crate::directory::EndpointHandle;
 use crate::entry_state::EntryState;
 
 /// Endpoints that are tried for one repeatable call.
@@ -94,35 +95,54 @@
     mut call: ServiceRequest,
 ) -> Result<ServiceAnswer> {
     let mut tried: SmallVec<[EndpointId; MAX_ENDPOINTS]> = SmallVec::new();
+    state.retries.deposit();
     loop {
-        let handle = state
-            .directory
-            .load()
-            .route_service(&call.service, &tried)?;
-        let _in_flight = handle.enter();
+        let handle = state.directory.choose_service(&call.service, &tried)?;
         call.endpoint = handle.endpoint.clone();
         call.time_left = head.time_left();
-        let (attempt, timeout) = (call.clone(), call.time_left);
-        let reply = handle
-            .link
-            .call(timeout, |client, context| async move {
-                client.call_service(context, attempt).await
-            })
-            .await;
-        let error = match reply {
+        let error = match call_once(state, &handle, call.clone()).await {
             Ok(answer) => return Ok(answer),
-            Err(LinkError::Refused(error)) => error,
-            Err(LinkError::NotSent(what) | LinkError::Lost(what)) => {
-                Error::new(ErrorKind::EndpointUnreachable, what)
-            }
+            Err(error) => error,
         };
-        tried.push(handle.endpoint.clone());
-        if tried.len() >= MAX_ENDPOINTS || head.time_left().is_zero() {
+        tried.push(handle.endpoint);
+        let spent = tried.len() >= MAX_ENDPOINTS || head.time_left().is_zero();
+        if spent || !state.retries.withdraw() {
             return Err(error);
         }
+        metrics::counter!("amaranth_entry_retries_total").increment(1);
     }
 }
 
+/// Calls one instance, and tells its breaker how it went.
+async fn call_once(
+    state: &EntryState,
+    handle: &EndpointHandle,
+    call: ServiceRequest,
+) -> Result<ServiceAnswer> {
+    let mut visit = state.directory.visit_service(handle).ok_or_else(|| {
+        Error::new(
+            ErrorKind::NoEndpoint,
+            format!("endpoint {} fails and is left alone", handle.endpoint),
+        )
+    })?;
+    let timeout = call.time_left;
+    let reply = handle.link.call(timeout, |client, context| async move {
+        client.call_service(context, call).await
+    });
+    let error = match reply.await {
+        Ok(answer) => {
+            visit.answered();
+            return Ok(answer);
+        }
+        Err(LinkError::Refused(error)) => error,
+        Err(LinkError::NotSent(what) | LinkError::Lost(what)) => {
+            Error::new(ErrorKind::EndpointUnreachable, what)
+        }
+    };
+    visit.failed(error.kind);
+    Err(error)
+}
+
 /// Runs a call at most once. A call without a key of its caller's gets one of its own.
 async fn call_claimed(
     state: &Arc<EntryState>,
--- a/crates/amaranth-entry/src/lib.rs
+++ b/crates/amaranth-entry/src/lib.rs
@@ -14,11 +14,14 @@
 pub mod control_thread;
 pub mod decision_log;
 pub mod directory;
+pub mod endpoint_visit;
 pub mod entry_state;
 pub mod http;
+pub mod load_duty;
 pub mod peer_service;
 pub mod process;
 pub mod readiness;
+pub mod retry_budget;
 pub mod settings;
 
 pub use process::{EntryPorts, EntryProcess};
--- a/crates/amaranth-entry/src/peer_service.rs
+++ b/crates/amaranth-entry/src/peer_service.rs
@@ -1,34 +1,25 @@
 //! The tarpc service of the entry.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_core::Result;
 use amaranth_core::ids::{AdapterRef, ConfigRevision, EndpointId};
 use amaranth_core::membership::AgentAnnouncement;
-use amaranth_core::time::Timestamp;
 use amaranth_wire::entry::{
     AnnouncementReply, DataCentreSummary, EntryRpc, EntryStatus, PermitReply, PermitRequest,
     SnapshotPart,
 };
 use tarpc::context::Context;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::{mpsc, oneshot, watch};
 
 use crate::control_thread::ControlEvent;
 use crate::entry_state::EntryState;
+use crate::load_duty::LoadDuty;
 
-/// Adapter loads that may be in transit at once before all of them slow down.
-const LOADS_IN_TRANSIT: usize = 8;
-
-/// How long a permit holds without being renewed.
-const PERMIT_TERM: Duration = Duration::from_secs(10);
-
-/// When an agent that got no permit asks again.
-const PERMIT_RETRY: Duration = Duration::from_millis(50);
-
-/// The loads that hold a permit, with the end of each permit.
-type PermitTable = HashMap<(EndpointId, AdapterRef), Timestamp>;
+/// Longest time for which an ask for a load is held. It is well below the time after which an
+/// agent gives up an entry that does not reply.
+const LONGEST_HOLD: Duration = Duration::from_millis(750);
 
 /// Answers agents, other entries and operators.
 #[derive(Clone)]
@@ -36,7 +27,7 @@
     state: Arc<EntryState>,
     control: mpsc::Sender<ControlEvent>,
     drain: watch::Sender<bool>,
-    permits: Arc<Mutex<PermitTable>>,
+    loads: Arc<LoadDuty>,
 }
 
 impl PeerService {
@@ -50,20 +41,40 @@
             state,
             control,
             drain,
-            permits: Arc::default(),
+            loads: Arc::new(LoadDuty::open()),
+        }
+    }
+
+    /// Asks control for the last announcement of each agent.
+    async fn announcements(&self) -> Vec<AgentAnnouncement> {
+        let (reply, announcements) = oneshot::channel();
+        let asked = self.control.send(ControlEvent::ListAgents(reply)).await;
+        match asked {
+            Ok(()) => announcements.await.unwrap_or_default(),
+            Err(_) => Vec::new(),
         }
     }
+}
 
-    fn grant(&self, request: PermitRequest) -> PermitReply {
-        let now = self.state.clock.now();
-        let mut permits = self.permits.lock().unwrap_or_else(PoisonError::into_inner);
-        permits.retain(|_, ends| *ends > now);
-        let key = (request.endpoint, request.adapter);
-        if permits.len() >= LOADS_IN_TRANSIT && !permits.contains_key(&key) {
-            return PermitReply::Wait(PERMIT_RETRY);
+impl PeerService {
+    /// Rules on a load. An ask whose turn comes soon is held until then, so that no start that the
+    /// store allows is lost to the way back and forth.
+    async fn hold_request(&self, request: PermitRequest) -> PermitReply {
+        let mut patience = LONGEST_HOLD;
+        loop {
+            let now = self.state.clock.now();
+            let reply = self
+                .loads
+                .request(now, &self.state.catalogue.load(), request.clone());
+            let PermitReply::Wait(delay) = reply else {
+                return reply;
+            };
+            if delay > patience {
+                return reply;
+            }
+            patience -= delay;
+            tokio::time::sleep(delay).await;
         }
-        permits.insert(key, now + PERMIT_TERM);
-        PermitReply::Granted(PERMIT_TERM)
     }
 }
 
@@ -92,7 +103,7 @@
         _context: Context,
         request: PermitRequest,
     ) -> Result<PermitReply> {
-        Ok(self.grant(request))
+        Ok(self.hold_request(request).await)
     }
 
     async fn return_permit(
@@ -101,8 +112,7 @@
         endpoint: EndpointId,
         adapter: AdapterRef,
     ) -> Result<()> {
-        let mut permits = self.permits.lock().unwrap_or_else(PoisonError::into_inner);
-        permits.remove(&(endpoint, adapter));
+        self.loads.release(endpoint, adapter);
         Ok(())
     }
 
@@ -125,7 +135,7 @@
             ready: self.state.readiness.is_ready(),
             leaving: self.state.gate.is_leaving(),
             in_flight: self.state.gate.in_flight(),
-            agents: self.state.directory.load().announcements().to_vec(),
+            agents: self.announcements().await,
             decisions: self.state.decisions.recent(),
         }
     }
--- a/crates/amaranth-entry/src/process.rs
+++ b/crates/amaranth-entry/src/process.rs
@@ -34,6 +34,7 @@
 use crate::http;
 use crate::peer_service::PeerService;
 use crate::readiness::EntryReadiness;
+use crate::retry_budget::SharedRetryBudget;
 use crate::settings::EntrySettings;
 
 /// Time that answers get to leave after the last request ended.
@@ -136,7 +137,7 @@
 
     /// Returns the number of endpoints that agents have announced.
     pub fn known_endpoints(&self) -> usize {
-        self.state.directory.load().endpoint_count()
+        self.state.directory.endpoint_count()
     }
 
     /// Returns when an operator asked for the entry to stop.
@@ -243,7 +244,8 @@
         .await
         .map_err(bound(settings.http_address))?;
     let http_address = listener.local_addr().map_err(start_failed)?;
-    let directory = DirectoryOwner::open(settings.peers);
+    let clock = MonotonicClock::start();
+    let directory = DirectoryOwner::open(settings.peers, clock);
     let (claim_sender, claim_events) = mpsc::channel(CLAIM_QUEUE);
     let (settled_sender, settled) = watch::channel(true);
     let (control, events) = mpsc::channel(CONTROL_QUEUE);
@@ -258,8 +260,9 @@
     let follower = config_tail::open(&identity, &settings.entries, Arc::clone(&ports.log));
     let state = Arc::new(EntryState {
         identity,
-        clock: MonotonicClock::start(),
-        directory: directory.published(),
+        clock,
+        directory: directory.directory(),
+        retries: SharedRetryBudget::default(),
         catalogue: follower.view().cell(),
         configuration: follower.view(),
         claims: ClaimClient::open(claim_sender.clone(), settled),
--- a/crates/amaranth-entry/tests/directory.rs
+++ b/crates/amaranth-entry/tests/directory.rs
@@ -5,7 +5,7 @@
 use amaranth_core::membership::{
     AgentAnnouncement, EndpointLoad, EndpointOffer, EndpointReport, ProcessIdentity,
 };
-use amaranth_core::time::Timestamp;
+use amaranth_core::time::{MonotonicClock, Timestamp};
 use amaranth_entry::directory::DirectoryOwner;
 use amaranth_entry::settings::PeerTimes;
 
@@ -42,8 +42,7 @@
 /// Returns the life of the agent that new work goes to.
 fn routed_life(directory: &DirectoryOwner) -> Result<Incarnation, ErrorKind> {
     let service = SERVICE.parse().expect("service");
-    let snapshot = directory.published().load_full();
-    let routed = snapshot.route_service(&service, &[]);
+    let routed = directory.directory().choose_service(&service, &[]);
     routed
         .map(|handle| handle.agent.incarnation)
         .map_err(|error| error.kind)
@@ -51,9 +50,8 @@
 
 /// Returns the life of the agent that can be asked about old work.
 fn asked_life(directory: &DirectoryOwner) -> Option<Incarnation> {
-    let snapshot = directory.published().load_full();
-    let (identity, _link) = snapshot.agent(&process())?;
-    Some(identity.incarnation)
+    let agent = directory.directory().agent(&process())?;
+    Some(agent.identity.incarnation)
 }
 
 fn at(milliseconds: u64) -> Timestamp {
@@ -62,7 +60,7 @@
 
 #[tokio::test]
 async fn crossed_announcement_of_leaving_stops_new_work() {
-    let mut directory = DirectoryOwner::open(PeerTimes::default());
+    let mut directory = DirectoryOwner::open(PeerTimes::default(), MonotonicClock::start());
     directory.announce(at(0), announcement(1, 2, false));
     assert_eq!(routed_life(&directory), Ok(Incarnation(1)));
     directory.announce(at(10), announcement(1, 1, true));
@@ -73,7 +71,7 @@
 
 #[tokio::test]
 async fn silent_agent_gets_no_new_work_and_can_still_be_asked_about_old() {
-    let mut directory = DirectoryOwner::open(PeerTimes::default());
+    let mut directory = DirectoryOwner::open(PeerTimes::default(), MonotonicClock::start());
     directory.announce(at(0), announcement(1, 1, false));
     directory.tick(at(3_500));
     assert_eq!(routed_life(&directory), Err(ErrorKind::NoEndpoint));
@@ -84,7 +82,7 @@
 
 #[tokio::test]
 async fn late_announcement_of_a_former_life_takes_no_work_from_the_present_one() {
-    let mut directory = DirectoryOwner::open(PeerTimes::default());
+    let mut directory = DirectoryOwner::open(PeerTimes::default(), MonotonicClock::start());
     directory.announce(at(0), announcement(1, 7, false));
     directory.announce(at(1_000), announcement(2, 1, false));
     directory.announce(at(1_100), announcement(1, 7, false));
