Measure what configuration costs

amaranth-lab config measures bytes, time and memory of 73,000 adapters, the cost of a change by size, and the time from append to in force at 330 readers.

--- a/crates/amaranth-config/src/shared_map.rs
+++ b/crates/amaranth-config/src/shared_map.rs
@@ -1,6 +1,6 @@
 //! A map whose clones share every page that has not changed since.
 //!
-//! It is a hash trie: sixteen-way branches over small leaves. A clone copies one pointer, and a
+//! It is a hash trie: four-way branches over small leaves. A clone copies one pointer, and a
 //! change copies the pages on one path, so its cost does not depend on how much the map holds.
 
 use std::iter;
@@ -15,7 +15,7 @@
 const LEAF_CAPACITY: usize = 16;
 
 /// Bits of the hash that choose the child of one branch.
-const BRANCH_BITS: u32 = 4;
+const BRANCH_BITS: u32 = 2;
 
 /// Children of one branch.
 const BRANCH_WIDTH: usize = 1 << BRANCH_BITS;
@@ -39,7 +39,7 @@
 #[derive(Debug, Clone)]
 enum Page<V> {
     Leaf(Vec<V>),
-    Branch(Box<[Arc<Page<V>>; BRANCH_WIDTH]>),
+    Branch([Arc<Page<V>>; BRANCH_WIDTH]),
 }
 
 /// Returns the index of the child for `hash` at `level`, taking the highest bits first.
@@ -154,7 +154,7 @@
             leaf.reserve_exact(1);
             leaf.push(value);
         }
-        Self::Branch(Box::new(leaves.map(|leaf| Arc::new(Self::Leaf(leaf)))))
+        Self::Branch(leaves.map(|leaf| Arc::new(Self::Leaf(leaf))))
     }
 
     fn remove(&mut self, hash: u64, level: u32, key: &str) -> Option<V> {
--- a/crates/amaranth-lab/src/commands.rs
+++ b/crates/amaranth-lab/src/commands.rs
@@ -5,6 +5,7 @@
 
 use amaranth_telemetry::usage_exit;
 
+use crate::config_bench;
 use crate::demo;
 use crate::detect;
 use crate::faults;
@@ -16,6 +17,7 @@
 Usage: amaranth-lab COMMAND [OPTIONS]
 
 Commands:
+  config    Measures what configuration costs
   demo      Runs both deployments' shapes and checks every promise
   detect    Compares failure detectors on seeded heartbeats
   faults    Runs a fleet under faults and checks every promise
@@ -42,6 +44,7 @@
             println!("amaranth-lab {}", env!("CARGO_PKG_VERSION"));
             ExitCode::SUCCESS
         }
+        Some("config") => config_bench::run(rest),
         Some("demo") => demo::run(rest),
         Some("detect") => detect::run(rest),
         Some("faults") => faults::run(rest),
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod checker;
 pub mod commands;
+pub mod config_bench;
 pub mod demo;
 pub mod detect;
 pub mod faults;
