Measure overload, and wait three and a half seconds for an announcement

A timeout of just three intervals suspects a peer after two lost announcements, since the third comes later than the third second by its delay; the half second bears them.

--- a/crates/amaranth-entry/src/settings.rs
+++ b/crates/amaranth-entry/src/settings.rs
@@ -79,7 +79,7 @@
             connect_timeout: Duration::from_millis(500),
             heartbeat: Duration::from_millis(500),
             silence: Duration::from_millis(500),
-            announcement_timeout: Duration::from_secs(3),
+            announcement_timeout: Duration::from_millis(3_500),
         }
     }
 }
--- a/crates/amaranth-lab/src/commands.rs
+++ b/crates/amaranth-lab/src/commands.rs
@@ -9,6 +9,7 @@
 use crate::demo;
 use crate::detect;
 use crate::faults;
+use crate::overload;
 use crate::policy;
 
 const HELP: &str = "\
@@ -21,6 +22,7 @@
   demo      Runs both deployments' shapes and checks every promise
   detect    Compares failure detectors on seeded heartbeats
   faults    Runs a fleet under faults and checks every promise
+  overload  Offers a small fleet more than it can carry
   policy    Replays placement decisions against baselines
   help      Prints this help
 
@@ -48,6 +50,7 @@
         Some("demo") => demo::run(rest),
         Some("detect") => detect::run(rest),
         Some("faults") => faults::run(rest),
+        Some("overload") => overload::run(rest),
         Some("policy") => policy::run(rest),
         _ => {
             eprintln!("amaranth-lab: unknown command {command:?}; see amaranth-lab help");
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod detect;
 pub mod faults;
 pub mod fleet;
+pub mod overload;
 pub mod policy;
 pub mod workload;
