Resume answers through other entries and silent connections, tested

Acknowledged chunks stay in the agent's buffer up to its limit, since a caller whose entry died lacks what that entry had read ahead; the test that an acknowledged chunk is an error now asserts it for one beyond the limit, and a new one that kept chunks are read again. Streams over paths that swallow bytes either way or both, or are cut, come byte for byte; a booking whose connection falls silent runs once.

--- a/crates/amaranth-control/src/answer_buffer.rs
+++ b/crates/amaranth-control/src/answer_buffer.rs
@@ -13,8 +13,9 @@
 
 /// Holds an answer between its engine and its reader.
 ///
-/// A chunk is dropped when a read that starts behind it acknowledges it. The writer stops
-/// while [`AnswerBuffer::is_full`], so a slow reader bounds the memory.
+/// A read acknowledges the chunks before its start. The writer stops while the rest
+/// [`AnswerBuffer::is_full`], so a slow reader bounds the memory. Acknowledged chunks are kept up
+/// to the same limit, newest first: a caller whose entry died may lack what that entry had read.
 ///
 /// When the engine's stream breaks, the request can be run again: the buffer then compares the
 /// chunks that a reader may have seen with those of the first run, and takes only new ones. A
@@ -29,7 +30,11 @@
     compared: usize,
     /// Chunks that were handed to a reader at least once.
     handed_out: usize,
+    /// Bytes of the chunks that are not acknowledged.
     held_bytes: usize,
+    /// Bytes of the acknowledged chunks that are kept.
+    kept_bytes: usize,
+    acknowledged: Sequence,
     limit_bytes: usize,
     end: Option<AnswerEnd>,
 }
@@ -44,6 +49,8 @@
             compared: 0,
             handed_out: 0,
             held_bytes: 0,
+            kept_bytes: 0,
+            acknowledged: Sequence(0),
             limit_bytes,
             end: None,
         }
@@ -54,7 +61,7 @@
         self.held_bytes >= self.limit_bytes
     }
 
-    /// Returns the bytes that are held.
+    /// Returns the bytes that wait to be acknowledged.
     pub const fn held_bytes(&self) -> usize {
         self.held_bytes
     }
@@ -136,7 +143,7 @@
     ///
     /// # Errors
     ///
-    /// Returns `NotFound` when the chunk at `from` was acknowledged before and is gone, and
+    /// Returns `NotFound` when the chunk at `from` was acknowledged long ago and is gone, and
     /// `InvalidRequest` when the answer has not come that far.
     pub fn read(&mut self, from: Sequence) -> Result<Option<AnswerBatch>> {
         let first = self
@@ -160,23 +167,45 @@
             ));
         }
         self.acknowledge(from);
-        if self.chunks.is_empty() && self.end.is_none() {
+        let chunks: Vec<_> = self.chunks.range(self.index_of(from)..).cloned().collect();
+        if chunks.is_empty() && self.end.is_none() {
             return Ok(None);
         }
         self.handed_out = self.digests.len();
         Ok(Some(AnswerBatch {
             id: self.id,
-            chunks: self.chunks.iter().cloned().collect(),
+            chunks,
             end: self.end.clone(),
         }))
     }
 
     fn acknowledge(&mut self, from: Sequence) {
-        while let Some(chunk) = self.chunks.front()
-            && chunk.sequence < from
+        if from <= self.acknowledged {
+            return;
+        }
+        let newly = self.index_of(self.acknowledged)..self.index_of(from);
+        let bytes: usize = self.chunks.range(newly).map(|chunk| chunk.data.len()).sum();
+        self.held_bytes -= bytes;
+        self.kept_bytes += bytes;
+        self.acknowledged = from;
+        self.drop_oldest();
+    }
+
+    /// Returns where the chunk of that sequence is among those that are held.
+    fn index_of(&self, sequence: Sequence) -> usize {
+        let first = self.chunks.front().map_or(sequence, |chunk| chunk.sequence);
+        let index = sequence.0.saturating_sub(first.0);
+        usize::try_from(index)
+            .unwrap_or(usize::MAX)
+            .min(self.chunks.len())
+    }
+
+    /// Drops the oldest acknowledged chunks beyond the limit.
+    fn drop_oldest(&mut self) {
+        while self.kept_bytes > self.limit_bytes
+            && let Some(chunk) = self.chunks.pop_front()
         {
-            self.held_bytes -= chunk.data.len();
-            self.chunks.pop_front();
+            self.kept_bytes -= chunk.data.len();
         }
     }
 
--- a/crates/amaranth-entry/tests/entry/main.rs
+++ b/crates/amaranth-entry/tests/entry/main.rs
@@ -2,4 +2,5 @@
 
 mod claims;
 mod completions;
+mod streams;
 mod support;
