--- a/crates/amaranth-ctl/tests/ctl/fleet.rs
+++ b/crates/amaranth-ctl/tests/ctl/fleet.rs
@@ -5,6 +5,7 @@
 
 use amaranth_ctl::exit::ExitStatus;
 use amaranth_entry::{EntryProcess, EntrySettings};
+use amaranth_standin::log_standin::LogOptions;
 use serde_json::Value;
 
 use crate::support::{TestFolder, TestLog, ctl};
@@ -19,12 +20,18 @@
 }
 
 async fn spawn_entry(name: &str, log: &TestLog) -> EntryProcess {
-    let settings = EntrySettings::loopback(
+    spawn_entry_beside(name, log, Vec::new()).await
+}
+
+/// Spawns an entry that knows others.
+async fn spawn_entry_beside(name: &str, log: &TestLog, entries: Vec<SocketAddr>) -> EntryProcess {
+    let mut settings = EntrySettings::loopback(
         name.parse().expect("the name is valid"),
         "buc-a".parse().expect("the name is valid"),
         "muntenia".parse().expect("the name is valid"),
         log.address(),
     );
+    settings.entries = entries;
     EntryProcess::spawn(settings)
         .await
         .expect("the entry starts")
@@ -128,3 +135,60 @@
         .await
         .expect("the entry is asked to stop");
 }
+
+async fn wait_until(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let waiting = async {
+        while !holds().await {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.expect(what);
+}
+
+#[tokio::test]
+async fn a_running_entry_makes_up_for_a_log_that_forgot() {
+    let log = TestLog::spawn_with(LogOptions {
+        retention: Duration::from_secs(3),
+        ..LogOptions::default()
+    })
+    .await;
+    let first = spawn_entry("first", &log).await;
+    log.apply(ONE).await;
+    wait_until("the first entry follows", async || first.revision().0 == 1).await;
+    let folder = TestFolder::create(ONE);
+    let alone = ["diff", folder.path()];
+    wait_until("the log forgets", async || {
+        log.ctl(&alone).await.status == ExitStatus::Failure
+    })
+    .await;
+    let address = first.peer_address();
+    let second = spawn_entry_beside("second", &log, vec![address]).await;
+    wait_until("the second entry starts", async || second.is_ready()).await;
+    assert_eq!(second.revision(), first.revision());
+    let with_entry = ["diff", folder.path(), "--entry", &address.to_string()];
+    let ended = log.ctl(&with_entry).await;
+    assert_eq!(ended.status, ExitStatus::Success, "{}", ended.errors);
+}
+
+#[tokio::test]
+async fn an_entry_without_peers_is_not_ready_when_the_log_forgot() {
+    let log = TestLog::spawn_with(LogOptions {
+        retention: Duration::from_secs(1),
+        ..LogOptions::default()
+    })
+    .await;
+    log.apply(ONE).await;
+    let folder = TestFolder::create(ONE);
+    wait_until("the log forgets", async || {
+        log.ctl(&["diff", folder.path()]).await.status == ExitStatus::Failure
+    })
+    .await;
+    let entry = spawn_entry("alone", &log).await;
+    let address = entry.peer_address().to_string();
+    wait_until("the entry is asked", async || {
+        let status = ctl(&["status", "--json", "--entry", &address]).await;
+        status.report.contains("starting")
+    })
+    .await;
+    assert!(!entry.is_ready());
+}
--- a/crates/amaranth-ctl/tests/ctl/support.rs
+++ b/crates/amaranth-ctl/tests/ctl/support.rs
@@ -104,9 +104,11 @@
 
 impl TestLog {
     pub async fn spawn() -> Self {
-        let standin = LogStandin::spawn(LogOptions::default())
-            .await
-            .expect("the log starts");
+        Self::spawn_with(LogOptions::default()).await
+    }
+
+    pub async fn spawn_with(options: LogOptions) -> Self {
+        let standin = LogStandin::spawn(options).await.expect("the log starts");
         let address = standin.address().to_string();
         Self { standin, address }
     }
