--- a/crates/amaranth-lab/src/demo.rs
+++ b/crates/amaranth-lab/src/demo.rs
@@ -9,7 +9,7 @@
 use std::process::ExitCode;
 
 use amaranth_core::errors::Result;
-use amaranth_telemetry::usage_exit;
+use amaranth_telemetry::{logs, usage_exit};
 
 use crate::demo::arguments::{DemoArguments, DemoCommand};
 use crate::demo::report::DemoReport;
@@ -29,6 +29,10 @@
             return usage_exit();
         }
     };
+    if let Err(error) = logs::open(arguments.log_level) {
+        eprintln!("amaranth-lab demo: no logs: {error}");
+        return ExitCode::FAILURE;
+    }
     let runtime = match tokio::runtime::Runtime::new() {
         Ok(runtime) => runtime,
         Err(error) => {
--- a/crates/amaranth-lab/src/demo/arguments.rs
+++ b/crates/amaranth-lab/src/demo/arguments.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use lexopt::prelude::{Long, Short, ValueExt};
+use log::LevelFilter;
 use strum::IntoEnumIterator;
 
 use crate::fleet::shape::Deployment;
@@ -18,6 +19,7 @@
       --deployment NAME  Runs tokachi or roata only
       --seconds N        Sends calls for N seconds for each deployment (default 8)
       --seed N           Draws the calls from this seed (default 1)
+      --log LEVEL        Logs events of this level and above to standard error (default off)
       --keep             Leaves one fleet up until Ctrl-C and prints lines to paste
   -h, --help             Prints this help
 
@@ -41,6 +43,8 @@
     pub seed: u64,
     /// Whether the fleet stays up.
     pub keep: bool,
+    /// The least important events that are logged.
+    pub log_level: LevelFilter,
 }
 
 impl Default for DemoArguments {
@@ -50,6 +54,7 @@
             duration: Duration::from_secs(DEFAULT_SECONDS),
             seed: 1,
             keep: false,
+            log_level: LevelFilter::Off,
         }
     }
 }
@@ -85,6 +90,7 @@
                     parsed.duration = Duration::from_secs(seconds);
                 }
                 Long("seed") => parsed.seed = parser.value()?.parse()?,
+                Long("log") => parsed.log_level = parser.value()?.parse()?,
                 Long("keep") => parsed.keep = true,
                 Short('h') | Long("help") => return Ok(DemoCommand::Help),
                 unknown => return Err(unknown.unexpected()),
--- a/crates/amaranth-lab/src/fleet/configuration.rs
+++ b/crates/amaranth-lab/src/fleet/configuration.rs
@@ -41,8 +41,8 @@
         .collect();
     let models = format!(
         "[models.{base}]\n\n[policy]\npreset = \"{}\"\n\n\
-         [limits]\ndefault-deadline = \"{CALL_DEADLINE_SECONDS}s\"\n",
-        shape.preset
+         [limits]\ndefault-deadline = \"{CALL_DEADLINE_SECONDS}s\"\nstore-loads = \"{}\"\n",
+        shape.preset, shape.store_rate
     );
     let adapters = format!(
         "[adapters.{changed}]\nbase = \"{base}\"\nversions = [{versions}]\ncurrent = {current}\n\n\
