--- a/crates/amaranth-follow/src/task.rs
+++ b/crates/amaranth-follow/src/task.rs
@@ -101,12 +101,13 @@
     async fn read_page(&mut self) -> PortResult<LogPage> {
         let log = Arc::clone(&self.log);
         let from = self.history.next_offset();
-        let read = log.read(
-            LogStream::Configuration,
-            from,
-            self.options.page_records,
-            self.options.read_wait,
-        );
+        // A process that starts must learn at once that there is nothing more to read.
+        let wait = match self.channels.state.borrow().caught_up {
+            true => self.options.read_wait,
+            false => Duration::ZERO,
+        };
+        let stream = LogStream::Configuration;
+        let read = log.read(stream, from, self.options.page_records, wait);
         tokio::pin!(read);
         loop {
             tokio::select! {
@@ -146,6 +147,10 @@
             }
         }
         self.publish(Some(page.end));
+        if page.records.is_empty() && !self.channels.state.borrow().caught_up {
+            // Reads don't wait before the process has caught up, so the pause is made here.
+            self.serve_while_waiting(self.options.retry_least).await;
+        }
         self.recover_if_lost(page.end).await;
     }
 
--- a/crates/amaranth-follow/tests/follower/following.rs
+++ b/crates/amaranth-follow/tests/follower/following.rs
@@ -82,12 +82,14 @@
 }
 
 #[tokio::test(start_paused = true)]
-async fn an_empty_log_is_an_empty_configuration() {
+async fn an_empty_log_is_an_empty_configuration_at_once() {
     let log = FakeLog::open();
+    let started = tokio::time::Instant::now();
     let follower = ConfigFollower::spawn(Arc::clone(&log) as _, options("one"));
     assert!(
         timeout(PATIENCE, follower.view().caught_up())
             .await
             .expect("in time")
     );
+    assert_eq!(started.elapsed(), std::time::Duration::ZERO);
 }
