--- a/crates/amaranth-follow/src/task.rs
+++ b/crates/amaranth-follow/src/task.rs
@@ -93,6 +93,7 @@
                     self.note_failure().await;
                 }
             }
+            self.served.drop_idle();
             self.write_snapshot_if_due();
         }
     }
--- a/crates/amaranth-follow/tests/follower/snapshots.rs
+++ b/crates/amaranth-follow/tests/follower/snapshots.rs
@@ -259,3 +259,25 @@
     assert_eq!(fresh.view().revision(), ConfigRevision(2));
     assert!(fresh.view().state().log_failing);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_snapshot_that_is_being_fetched_outlives_the_next_one() {
+    let log = FakeLog::open();
+    append_many(&log);
+    let peer = ConfigFollower::spawn(log.clone(), options("peer"));
+    let view = peer.view();
+    reach(&view, 1).await;
+    let first = view.snapshot_part(None, 0).await.expect("a part");
+    log.put(change_record(&view.catalogue(), &adapters(MANY + 1)));
+    reach(&view, 2).await;
+    let next = view.snapshot_part(None, 0).await.expect("a part");
+    assert_eq!(next.revision, ConfigRevision(2));
+    let rest = view.snapshot_part(Some(first.revision), 1).await;
+    assert_eq!(rest.expect("a part").revision, first.revision);
+    tokio::time::sleep(PATIENCE).await;
+    let dropped = view.snapshot_part(Some(first.revision), 1).await;
+    assert_eq!(
+        dropped.expect_err("it is dropped").kind,
+        ErrorKind::NotFound
+    );
+}
