Read the agent's endpoint tables as the example writes them

The program refused its own example: serde can't flatten a tagged kind into a table that denies unknown keys. Endpoint tables are now read whole and checked. A lease term shorter than renewal, order timeout and skew together is refused as well. Decisions name the planner's reason.

--- a/crates/amaranth-agent/src/engine_control.rs
+++ b/crates/amaranth-agent/src/engine_control.rs
@@ -164,7 +164,7 @@
                         self.handle_event(event);
                     }
                 }
-                _ = ticks.tick(), if self.planner.queued() > 0 => self.plan(PlannerEvent::Tick),
+                _ = ticks.tick(), if self.needs_ticks() => self.plan(PlannerEvent::Tick),
                 _ = inventories.tick() => {
                     self.read_inventory();
                     self.read_load();
@@ -181,6 +181,11 @@
         }
     }
 
+    /// Returns whether a deadline or a delayed load may come due.
+    fn needs_ticks(&self) -> bool {
+        self.planner.queued() > 0 || self.planner.next_wake().is_some()
+    }
+
     fn handle_event(&mut self, event: EngineEvent) {
         match event {
             EngineEvent::Arrived(_, slot) if self.handing_back => {
--- a/crates/amaranth-agent/src/engine_control/orders.rs
+++ b/crates/amaranth-agent/src/engine_control/orders.rs
@@ -5,6 +5,7 @@
 use amaranth_control::lease::keeper::LeaseEvent;
 use amaranth_control::lease::stage::OrderPermit;
 use amaranth_core::ids::AdapterRef;
+use amaranth_placement::decision::PlacementDecision;
 use amaranth_placement::planner::PlannerEvent;
 use amaranth_ports::{PortError, PortResult};
 
@@ -39,7 +40,7 @@
         let handle = self.handle.clone();
         let orders = self.orders.clone();
         let permit = self.permit();
-        self.decide(&format!("event=load_ordered adapter={adapter}"));
+        self.explain(&adapter);
         let endpoint = self.endpoint.clone();
         let permits = self.context.permits.clone();
         self.context.traffic.spawn(async move {
@@ -57,7 +58,7 @@
         let order = permit
             .filter(|_| !self.predecessor.may_run())
             .and_then(|permit| self.pins.evict(&adapter, permit));
-        self.decide(&format!("event=unload_ordered adapter={adapter}"));
+        self.explain(&adapter);
         self.context.traffic.spawn(async move {
             let result = match order {
                 Some(order) => orders.unload(order).await,
@@ -71,6 +72,18 @@
         });
     }
 
+    /// Keeps the reason of the planner's latest decision on `adapter`.
+    fn explain(&self, adapter: &AdapterRef) {
+        let concerns = |decision: &PlacementDecision| match decision {
+            PlacementDecision::Load { adapter: known, .. }
+            | PlacementDecision::Evict { adapter: known, .. } => known == adapter,
+        };
+        let decisions = self.planner.decisions().map(|(_, decision)| decision);
+        if let Some(decision) = decisions.filter(|decision| concerns(decision)).last() {
+            self.decide(&decision.to_string());
+        }
+    }
+
     pub(super) fn permit(&self) -> Option<OrderPermit> {
         let board = self.context.lease.board();
         board.permit(&self.endpoint).filter(|_| !self.leaving)
--- a/crates/amaranth-agent/src/main.rs
+++ b/crates/amaranth-agent/src/main.rs
@@ -39,6 +39,7 @@
         }
     };
     if check {
+        println!("{} is good", path.display());
         return ExitCode::SUCCESS;
     }
     match run(settings) {
--- a/crates/amaranth-agent/src/settings.rs
+++ b/crates/amaranth-agent/src/settings.rs
@@ -58,20 +58,18 @@
 
 /// One endpoint behind the agent.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "EndpointTable", into = "EndpointTable")]
 pub struct EndpointSettings {
     /// The endpoint's name.
     pub id: EndpointId,
     /// Where it listens.
     pub address: SocketAddr,
     /// What it is.
-    #[serde(flatten)]
     pub kind: EndpointKind,
 }
 
 /// What an endpoint is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "kebab-case")]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum EndpointKind {
     /// A model engine.
     Engine,
@@ -82,6 +80,67 @@
     },
 }
 
+/// An `[[endpoint]]` table as it is written.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct EndpointTable {
+    id: EndpointId,
+    kind: EndpointKindName,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    service: Option<ServiceName>,
+    address: SocketAddr,
+}
+
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+enum EndpointKindName {
+    Engine,
+    Service,
+}
+
+impl TryFrom<EndpointTable> for EndpointSettings {
+    type Error = String;
+
+    fn try_from(table: EndpointTable) -> Result<Self, String> {
+        let id = &table.id;
+        let kind = match (table.kind, table.service) {
+            (EndpointKindName::Engine, None) => EndpointKind::Engine,
+            (EndpointKindName::Service, Some(service)) => EndpointKind::Service { service },
+            (EndpointKindName::Engine, Some(service)) => {
+                return Err(format!(
+                    "endpoint \"{id}\" is an engine and names service \"{service}\"; \
+                     only kind = \"service\" does"
+                ));
+            }
+            (EndpointKindName::Service, None) => {
+                return Err(format!(
+                    "endpoint \"{id}\" is a service and lacks the key \"service\""
+                ));
+            }
+        };
+        Ok(Self {
+            id: table.id,
+            address: table.address,
+            kind,
+        })
+    }
+}
+
+impl From<EndpointSettings> for EndpointTable {
+    fn from(settings: EndpointSettings) -> Self {
+        let (kind, service) = match settings.kind {
+            EndpointKind::Engine => (EndpointKindName::Engine, None),
+            EndpointKind::Service { service } => (EndpointKindName::Service, Some(service)),
+        };
+        Self {
+            id: settings.id,
+            kind,
+            service,
+            address: settings.address,
+        }
+    }
+}
+
 /// Bounds of memory and time.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -190,6 +249,14 @@
             ("lease_renewal", self.lease_renewal),
             ("order_timeout", self.order_timeout),
         ];
+        let shortest = self.lease_renewal + self.order_timeout + self.clock_skew;
+        if self.lease_term <= shortest {
+            faults.push(SettingFault::new(
+                "limits.lease_term",
+                format!("{:?}", self.lease_term),
+                "more than lease_renewal, order_timeout and clock_skew together",
+            ));
+        }
         let zeros = durations.iter().filter(|(_, duration)| duration.is_zero());
         faults
             .extend(zeros.map(|(name, _)| {
