--- a/crates/amaranth-agent/src/engine_traffic.rs
+++ b/crates/amaranth-agent/src/engine_traffic.rs
@@ -93,6 +93,7 @@
             DispatchEnd::Interrupted(error)
         }
         Err(StreamFault::Final(error)) => {
+            note_failure(&dispatch.request, &error);
             slot.fail(error);
             cancel(&dispatch).await;
             DispatchEnd::Settled
@@ -100,6 +101,19 @@
     }
 }
 
+/// Logs and counts an answer that ends with an error after it was dispatched.
+fn note_failure(request: &CompletionRequest, error: &Error) {
+    let kind: &'static str = error.kind.into();
+    metrics::counter!("amaranth_agent_answers_failed_total", "kind" => kind).increment(1);
+    log::warn!(
+        "event=answer_failed request={} endpoint={} target={} kind={kind} cause={:?}",
+        request.id,
+        request.endpoint,
+        request.target,
+        error.message
+    );
+}
+
 /// Returns whether the engine held the target when it was last read.
 fn holds(inventory: Option<&EngineInventory>, target: &ModelTarget) -> bool {
     inventory.is_some_and(|inventory| match target {
