--- a/crates/amaranth-entry/src/claim_tail.rs
+++ b/crates/amaranth-entry/src/claim_tail.rs
@@ -54,10 +54,14 @@
     }
 }
 
-/// Follows the stream for good.
+/// Follows the stream for good. The first read does not wait: an entry that starts must learn at
+/// once that there is nothing more to read.
 pub async fn follow(tail: ClaimTail) {
+    let mut wait = Duration::ZERO;
     loop {
-        if !tail.read_once(READ_WAIT).await {
+        if tail.read_once(wait).await {
+            wait = READ_WAIT;
+        } else {
             tokio::time::sleep(FAILURE_PAUSE).await;
         }
         // Lets the desk take the page, so that the next read starts behind it.
