Test amaranthctl against a running fleet

status finds the entry and both agents, explain finds the routing of a request by its adapter, and drain stops an agent through its announced address.

--- /dev/null
+++ b/crates/amaranth-lab/tests/operators.rs
@@ -0,0 +1,99 @@
+//! The operators' tool against a running fleet.
+
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_core::request::CompletionApi;
+use amaranth_ctl::exit::ExitStatus;
+use amaranth_ctl::output::CommandOutput;
+use amaranth_lab::caller::client::CallerClient;
+use amaranth_lab::caller::completion::CompletionCall;
+use amaranth_lab::fleet::demo_fleet::DemoFleet;
+use amaranth_lab::fleet::shape::{Deployment, DeploymentShape};
+use serde_json::Value;
+
+/// Generous time for one call of a caller.
+const CALL_TIMEOUT: Duration = Duration::from_secs(30);
+
+#[derive(Debug, Clone, Default)]
+struct SharedBuffer(Arc<Mutex<Vec<u8>>>);
+
+impl Write for SharedBuffer {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().unwrap().extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Runs `amaranthctl` on the fleet, and returns how it ended and its report.
+async fn ctl(fleet: &DemoFleet, words: &[&str]) -> (ExitStatus, Value) {
+    let mut arguments: Vec<String> = words.iter().map(ToString::to_string).collect();
+    arguments.push("--json".to_owned());
+    arguments.push(format!("--log={}", fleet.platform.log.address()));
+    for member in &fleet.entries {
+        let entry = member.process().expect("the entry runs");
+        arguments.push(format!("--entry={}", entry.peer_address()));
+    }
+    let buffer = SharedBuffer::default();
+    let output = CommandOutput::open(Box::new(buffer.clone()), Box::new(io::sink()));
+    let status = amaranth_ctl::run(arguments.into_iter().map(Into::into), output).await;
+    let text = buffer.0.lock().unwrap().clone();
+    let report = serde_json::from_slice(&text).expect("the report is JSON");
+    (status, report)
+}
+
+fn small_shape() -> DeploymentShape {
+    let mut shape = DeploymentShape::of(Deployment::Roata);
+    shape.data_centres.truncate(1);
+    shape.engines = 1;
+    shape.service_instances = 1;
+    shape.adapters = 5;
+    shape
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn operators_see_explain_and_drain_a_fleet() {
+    let fleet = DemoFleet::spawn(small_shape())
+        .await
+        .expect("the fleet starts");
+    let adapter = fleet.shape.adapter_name(2);
+    let call = CompletionCall {
+        api: CompletionApi::Completions,
+        model: adapter.clone(),
+        prompt: "plan".to_owned(),
+        max_tokens: 4,
+        stream: true,
+    };
+    let address = fleet.entry_addresses()[0];
+    let answer = CallerClient::open(CALL_TIMEOUT)
+        .complete(address, &call)
+        .await;
+    assert_eq!(answer.tokens, 4, "{answer:?}");
+
+    let (status, report) = ctl(&fleet, &["status"]).await;
+    assert_eq!(status, ExitStatus::Success, "{report}");
+    let daemons = report["daemons"].as_array().expect("a list");
+    let agents: Vec<_> = daemons
+        .iter()
+        .filter(|daemon| daemon["role"] == "agent")
+        .collect();
+    assert_eq!(agents.len(), 2, "{report}");
+
+    let (status, report) = ctl(&fleet, &["explain", &adapter]).await;
+    assert_eq!(status, ExitStatus::Success, "{report}");
+    assert!(
+        report.to_string().contains("event=request_routed"),
+        "{report}"
+    );
+
+    let agent = agents[0]["process"].as_str().expect("a name");
+    let (status, report) = ctl(&fleet, &["drain", agent]).await;
+    assert_eq!(status, ExitStatus::Success, "{report}");
+    assert_eq!(report["daemon"]["process"], agent);
+    fleet.stop().await;
+}
