Say when the log has lost records that were already ruled

Such a process would have passed over every new change in silence, since new records take the offsets of lost ones. It now reports config_log_rewound, keeps its catalogue, and a process that starts does not count as caught up.

--- a/crates/amaranth-follow/src/task.rs
+++ b/crates/amaranth-follow/src/task.rs
@@ -147,6 +147,7 @@
                 break;
             }
         }
+        self.report_rewound(page.end);
         self.publish(Some(page.end));
         if page.records.is_empty() && !self.channels.state.borrow().caught_up {
             // Reads don't wait before the process has caught up, so the pause is made here.
@@ -166,6 +167,18 @@
         self.history.note_first_kept(first_kept);
     }
 
+    /// Says that the log has lost records that this process has ruled.
+    ///
+    /// New records would take the offsets of lost ones, so none is ruled until the log's end lies
+    /// behind them again; the catalogue stays in force.
+    fn report_rewound(&self, end: LogOffset) {
+        let next = self.history.next_offset();
+        if end < next {
+            let revision = self.history.revision();
+            log::error!("event=config_log_rewound end={end} next={next} revision={revision}");
+        }
+    }
+
     fn note_snapshot(&mut self, verdict: &RecordVerdict) {
         let now = self.now();
         let Some(duty) = &mut self.duty else {
@@ -192,13 +205,14 @@
         let next = self.history.next_offset();
         let standing = self.history.standing();
         let known = *self.channels.state.borrow();
-        let reached = end.is_some_and(|end| next >= end) && standing == HistoryStanding::Complete;
+        let reached = end == Some(next) && standing == HistoryStanding::Complete;
         let state = FollowerState {
             revision,
             next,
             lag_records: end.map_or(known.lag_records, |end| end.0.saturating_sub(next.0)),
             caught_up: reached || known.caught_up,
             log_failing: end.is_none() && known.log_failing,
+            log_rewound: end.map_or(known.log_rewound, |end| end < next),
             standing,
         };
         self.publish_state(state);
--- a/crates/amaranth-follow/src/view.rs
+++ b/crates/amaranth-follow/src/view.rs
@@ -24,6 +24,8 @@
     pub caught_up: bool,
     /// Whether the last read of the log failed.
     pub log_failing: bool,
+    /// Whether the log ends before records that were already read: it has lost its newest part.
+    pub log_rewound: bool,
     /// How far the configuration can be relied on.
     pub standing: HistoryStanding,
 }
@@ -36,6 +38,7 @@
             lag_records: 0,
             caught_up: false,
             log_failing: false,
+            log_rewound: false,
             standing: HistoryStanding::Complete,
         }
     }
--- a/crates/amaranth-follow/tests/follower/following.rs
+++ b/crates/amaranth-follow/tests/follower/following.rs
@@ -93,3 +93,20 @@
     );
     assert_eq!(started.elapsed(), std::time::Duration::ZERO);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_log_that_lost_its_end_is_said_and_reverts_nothing() {
+    let log = FakeLog::open();
+    append_changes(&log, &Catalogue::default(), 3);
+    let follower = ConfigFollower::spawn(log.clone(), options("one"));
+    let view = follower.view();
+    reach(&view, 3).await;
+    log.rewind(1);
+    let mut state = view.watch();
+    timeout(PATIENCE, state.wait_for(|state| state.log_rewound))
+        .await
+        .expect("the loss is seen in time")
+        .expect("the follower runs");
+    assert_eq!(view.revision(), ConfigRevision(3));
+    assert_eq!(view.catalogue().adapter_count(), 3);
+}
--- a/crates/amaranth-follow/tests/follower/support.rs
+++ b/crates/amaranth-follow/tests/follower/support.rs
@@ -57,6 +57,11 @@
         *self.first_kept.lock().unwrap() = first;
     }
 
+    /// Loses every record from `end` on.
+    pub fn rewind(&self, end: usize) {
+        self.records.lock().unwrap().truncate(end);
+    }
+
     /// Returns the number of records that were ever appended.
     pub fn end(&self) -> usize {
         self.records.lock().unwrap().len()
