--- a/crates/amaranth-config/src/duty.rs
+++ b/crates/amaranth-config/src/duty.rs
@@ -28,7 +28,7 @@
 impl Default for DutyOptions {
     fn default() -> Self {
         Self {
-            interval: Duration::from_secs(3_600),
+            interval: Duration::from_secs(900),
             max_records: 4_096,
             rank_delay: Duration::from_secs(60),
             part_timeout: Duration::from_secs(30),
--- a/crates/amaranth-entry/src/config_tail.rs
+++ b/crates/amaranth-entry/src/config_tail.rs
@@ -12,25 +12,29 @@
 use arc_swap::ArcSwap;
 
 use crate::entry_state::EntryState;
+use crate::settings::EntrySettings;
 
 /// The catalogue that is in force now.
 pub type CurrentCatalogue = Arc<ArcSwap<Catalogue>>;
 
-/// Opens the follower of an entry, which starts from the snapshot of one of `entries`.
+/// Opens the follower of an entry, which starts from the snapshot of one of the other entries.
 pub fn open(
     identity: &ProcessIdentity,
-    entries: &[SocketAddr],
+    settings: &EntrySettings,
     log: Arc<dyn LogPort>,
 ) -> PreparedFollower {
-    let peers = (!entries.is_empty()).then(|| {
-        let mut addresses = entries.to_vec();
+    let peers = (!settings.entries.is_empty()).then(|| {
+        let mut addresses = settings.entries.clone();
         // Each entry asks others first, so that they share the work.
         addresses.sort_by_key(|address| hash64(identity.incarnation.0, &address_bytes(address)));
         Arc::new(PeerSnapshots::open(addresses)) as _
     });
     let options = FollowerOptions {
         peers,
-        duty: Some(DutyOptions::default()),
+        duty: Some(DutyOptions {
+            interval: settings.snapshot_interval,
+            ..DutyOptions::default()
+        }),
         writer: format!("{} {}", identity.process, identity.incarnation),
         ..FollowerOptions::default()
     };
--- a/crates/amaranth-entry/src/process.rs
+++ b/crates/amaranth-entry/src/process.rs
@@ -257,7 +257,7 @@
         data_centre: settings.data_centre.clone(),
         region: settings.region.clone(),
     };
-    let follower = config_tail::open(&identity, &settings.entries, Arc::clone(&ports.log));
+    let follower = config_tail::open(&identity, &settings, Arc::clone(&ports.log));
     let state = Arc::new(EntryState {
         identity,
         clock,
--- a/crates/amaranth-entry/src/settings.rs
+++ b/crates/amaranth-entry/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amaranth_config::duty::DutyOptions;
 use amaranth_core::ids::{DataCentreName, ProcessId, RegionName};
 use amaranth_telemetry::settings::{CheckedSettings, SettingFault};
 use log::LevelFilter;
@@ -53,6 +54,10 @@
     /// Claims of non-idempotent calls.
     #[serde(default)]
     pub claims: ClaimSettings,
+    /// Longest age of the configuration's last snapshot in the log, before one of the entries
+    /// writes the next. At most a third of the time for which the log keeps records.
+    #[serde(default = "default_snapshot_interval", with = "humantime_serde")]
+    pub snapshot_interval: Duration,
 }
 
 /// Times of the exchange with agents and other entries.
@@ -108,6 +113,10 @@
     10_000
 }
 
+fn default_snapshot_interval() -> Duration {
+    DutyOptions::default().interval
+}
+
 const fn default_log_level() -> LevelFilter {
     LevelFilter::Info
 }
@@ -137,6 +146,7 @@
             collector: None,
             peers: PeerTimes::default(),
             claims: ClaimSettings::default(),
+            snapshot_interval: default_snapshot_interval(),
         }
     }
 }
@@ -158,6 +168,13 @@
                 faults.push(SettingFault::new(key, "0s", "a time above zero"));
             }
         }
+        if self.snapshot_interval.is_zero() {
+            faults.push(SettingFault::new(
+                "snapshot_interval",
+                "0s",
+                "a time above zero",
+            ));
+        }
         if self.max_in_flight == 0 {
             faults.push(SettingFault::new(
                 "max_in_flight",
