--- a/crates/amaranth-lab/src/overload/mod.rs
+++ b/crates/amaranth-lab/src/overload/mod.rs
@@ -30,6 +30,12 @@
 /// Adapters, which all engines hold after the warm-up.
 const ADAPTERS: u32 = 4;
 
+/// The deadline of requests while the capacity is measured, so that none is refused.
+const CAPACITY_DEADLINE: Duration = Duration::from_secs(60);
+
+/// Requests in flight for each batch slot while the capacity is measured, so that no slot idles.
+const CAPACITY_FACTOR: usize = 3;
+
 /// How long the fleet is warmed up before its capacity is measured.
 const WARM_UP: Duration = Duration::from_secs(5);
 
@@ -78,10 +84,11 @@
 pub async fn measure(arguments: &OverloadArguments) -> Result<OverloadReport> {
     let fleet = DemoFleet::spawn(shape()).await?;
     let entry = first_entry(&fleet)?;
+    let patient = LoadGenerator::open(entry, &fleet.shape, CAPACITY_DEADLINE);
+    let workers = ENGINES * usize::from(BATCH_SLOTS) * CAPACITY_FACTOR;
+    patient.saturate(workers, WARM_UP).await;
+    let capacity = patient.saturate(workers, arguments.duration).await;
     let generator = LoadGenerator::open(entry, &fleet.shape, arguments.deadline);
-    let workers = ENGINES * usize::from(BATCH_SLOTS);
-    generator.saturate(workers, WARM_UP).await;
-    let capacity = generator.saturate(workers, arguments.duration).await;
     let mut levels = Vec::new();
     for level in LEVELS {
         let rate = capacity.per_second() * level;
--- a/crates/amaranth-lab/src/overload/report.rs
+++ b/crates/amaranth-lab/src/overload/report.rs
@@ -30,7 +30,7 @@
     pub ended: Duration,
 }
 
-/// What the fleet carries with as many requests in flight as it batches.
+/// What the fleet carries with more requests in flight than it batches.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct CapacityFigures {
     /// Requests answered in time.
