--- a/crates/amaranth-placement/src/admission.rs
+++ b/crates/amaranth-placement/src/admission.rs
@@ -66,9 +66,14 @@
         self.load_wait.get(now).unwrap_or_default()
     }
 
+    /// Returns the expected time that a request spends in the batch.
+    pub fn service_time(&self, now: Timestamp) -> Duration {
+        self.service_time.get(now).unwrap_or_default()
+    }
+
     /// Returns the expected wait for a place in the batch behind `ahead` waiting requests.
     pub fn batch_wait(&self, now: Timestamp, ahead: usize, batch_slots: usize) -> Duration {
-        let service = self.service_time.get(now).unwrap_or_default();
+        let service = self.service_time(now);
         let rounds = ahead as f64 / batch_slots.max(1) as f64;
         service.mul_f64(rounds)
     }
--- a/crates/amaranth-placement/src/planner.rs
+++ b/crates/amaranth-placement/src/planner.rs
@@ -108,7 +108,7 @@
     pub batch_slots: usize,
     /// Requests that wait at once; more are refused.
     pub queue_limit: usize,
-    /// Whether requests that can't start before their deadline are refused when they come.
+    /// Whether requests that can't end before their deadline are refused when they come.
     pub refuse_early: bool,
 }
 
@@ -273,7 +273,9 @@
             self.demands.record(now, adapter);
         }
         let expected = self.expected_wait(now, &request.target);
-        let too_late = self.options.refuse_early && now + expected > request.deadline;
+        // A request that starts in time and ends too late takes a place from one that could end.
+        let end = now + expected + self.admission.service_time(now);
+        let too_late = self.options.refuse_early && end > request.deadline;
         if too_late || self.queue.len() >= self.options.queue_limit {
             let error = Error::new(
                 ErrorKind::Overloaded,
