Spend batch places on requests that can end in time

Requests that can end come before those that can't, and a request cut off by its deadline no longer shortens the expected service, which had let more in than could end.

--- a/crates/amaranth-placement/src/planner.rs
+++ b/crates/amaranth-placement/src/planner.rs
@@ -128,6 +128,7 @@
 struct RunningRequest {
     target: ModelTarget,
     dispatched: Timestamp,
+    deadline: Timestamp,
 }
 
 /// Plans one engine.
@@ -309,8 +310,11 @@
         let Some(running) = self.running.remove(&id) else {
             return;
         };
-        self.admission
-            .record_service(now, now.since(running.dispatched));
+        // A request that its deadline cut off says nothing of the time that it would have needed.
+        if now < running.deadline {
+            self.admission
+                .record_service(now, now.since(running.dispatched));
+        }
         if let Some(adapter) = running.target.adapter() {
             self.slots.unpin(adapter);
         }
@@ -373,7 +377,8 @@
 
     fn dispatch_ready(&mut self, now: Timestamp, commands: &mut PlannerCommands) {
         while self.running.len() < self.options.batch_slots {
-            let Some(queued) = self.queue.pop_ready() else {
+            let end = now + self.admission.service_time(now);
+            let Some(queued) = self.queue.pop_ready(end) else {
                 return;
             };
             let id = queued.request.id;
@@ -385,6 +390,7 @@
             let running = RunningRequest {
                 target,
                 dispatched: now,
+                deadline: queued.request.deadline,
             };
             self.running.insert(id, running);
         }
--- a/crates/amaranth-placement/src/queue.rs
+++ b/crates/amaranth-placement/src/queue.rs
@@ -167,8 +167,16 @@
     }
 
     /// Removes and returns the request that is due first among those that can be dispatched.
-    pub fn pop_ready(&mut self) -> Option<QueuedRequest> {
-        let &(_, id) = self.ready.first()?;
+    ///
+    /// Requests whose deadline is before `end`, when they could end at the soonest, come after
+    /// all others.
+    pub fn pop_ready(&mut self, end: Timestamp) -> Option<QueuedRequest> {
+        let ends_in_time = |id: &RequestId| {
+            let queued = self.requests.get(id);
+            queued.is_some_and(|queued| queued.request.deadline >= end)
+        };
+        let in_time = self.ready.iter().find(|(_, id)| ends_in_time(id));
+        let &(_, id) = in_time.or_else(|| self.ready.first())?;
         self.remove(id)
     }
 
--- a/crates/amaranth-placement/tests/service_time.rs
+++ b/crates/amaranth-placement/tests/service_time.rs
@@ -69,3 +69,35 @@
     let commands = planner.handle(at(now), arrival(100, at(now + SERVICE_MS / 2)));
     assert!(commands.contains(&PlannerCommand::Dispatch(RequestId(100))));
 }
+
+#[test]
+fn request_that_can_end_in_time_goes_before_one_that_cannot() {
+    let (mut planner, now) = learned_planner(true);
+    planner.handle(at(now), arrival(100, at(now + 60_000)));
+    planner.handle(at(now + 1), arrival(101, at(now + SERVICE_MS * 5 / 2)));
+    planner.handle(at(now + 2), arrival(102, at(now + 60_000)));
+    // The first request takes twice as long as usual, which leaves the second half a second.
+    let later = at(now + 2 * SERVICE_MS);
+    let commands = planner.handle(later, PlannerEvent::Finished(RequestId(100)));
+    assert!(commands.contains(&PlannerCommand::Dispatch(RequestId(102))));
+    // With nothing else to do, the engine tries the late one as well.
+    let commands = planner.handle(later, PlannerEvent::Finished(RequestId(102)));
+    assert!(commands.contains(&PlannerCommand::Dispatch(RequestId(101))));
+}
+
+#[test]
+fn requests_cut_off_by_their_deadline_do_not_shorten_the_expected_service() {
+    let (mut planner, mut now) = learned_planner(false);
+    for number in 200..216 {
+        planner.handle(at(now), arrival(number, at(now + 10)));
+        now += 10;
+        let finished = PlannerEvent::Finished(RequestId(u128::from(number)));
+        planner.handle(at(now), finished);
+    }
+    planner.handle(at(now), arrival(300, at(now + 60_000)));
+    planner.handle(at(now + 1), arrival(301, at(now + SERVICE_MS * 3 / 2)));
+    planner.handle(at(now + 2), arrival(302, at(now + 60_000)));
+    let later = at(now + SERVICE_MS);
+    let commands = planner.handle(later, PlannerEvent::Finished(RequestId(300)));
+    assert!(commands.contains(&PlannerCommand::Dispatch(RequestId(302))));
+}
