--- a/crates/amaranth-entry/src/http/completions.rs
+++ b/crates/amaranth-entry/src/http/completions.rs
@@ -1,6 +1,7 @@
 //! Completions and chat completions, streamed and whole.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use amaranth_config::catalogue::ResolvedModel;
 use amaranth_core::errors::{Result, RunState, invalid_request};
@@ -51,6 +52,7 @@
         request: new_request_id(),
         revision: state.catalogue.load().revision(),
     };
+    metrics::counter!("amaranth_entry_requests_total", "api" => api.path()).increment(1);
     let answered = answer(&state, api, request, &mut labels).await;
     answered.unwrap_or_else(|error| {
         log::info!(
@@ -270,7 +272,10 @@
     labels: AnswerLabels,
     run: RunState,
 ) -> Result<Response<Body>> {
+    let started = Instant::now();
     let first = opened.reader.next_chunks().await?;
+    metrics::histogram!("amaranth_entry_first_chunk_seconds")
+        .record(started.elapsed().as_secs_f64());
     let mut text = Vec::new();
     let phase = match first {
         Some(chunks) => {
--- a/crates/amaranth-entry/src/http/services.rs
+++ b/crates/amaranth-entry/src/http/services.rs
@@ -33,6 +33,7 @@
         request: new_request_id(),
         revision: state.catalogue.load().revision(),
     };
+    metrics::counter!("amaranth_entry_requests_total", "api" => "service").increment(1);
     match answer(&state, request, &mut labels).await {
         Ok(answer) => service_response(answer, labels),
         Err(error) => {
@@ -41,6 +42,8 @@
                 labels.request,
                 error.kind
             );
+            metrics::counter!("amaranth_entry_refusals_total", "kind" => <&str>::from(error.kind))
+                .increment(1);
             ApiError { labels, error }.into_response()
         }
     }
--- /dev/null
+++ b/crates/amaranth-entry/tests/settings.rs
@@ -0,0 +1,27 @@
+//! Settings files of the entry.
+
+use std::path::Path;
+
+use amaranth_entry::EntrySettings;
+use amaranth_telemetry::settings::parse;
+use rstest::rstest;
+
+const EXAMPLE: &str = include_str!("../settings.example.toml");
+
+#[test]
+fn the_example_is_accepted() {
+    let settings: EntrySettings = parse(Path::new("entry.toml"), EXAMPLE).expect("it is valid");
+    assert_eq!(settings.process.as_str(), "entry-1");
+}
+
+#[rstest]
+#[case::zero_limit("max_in_flight = 0", "max_in_flight = 0 is not allowed")]
+#[case::zero_time("[peers]\nheartbeat = \"0s\"", "peers.heartbeat = 0s is not allowed")]
+#[case::unknown_key("max_inflight = 3", "unknown field `max_inflight`")]
+fn a_bad_setting_is_named(#[case] line: &str, #[case] message: &str) {
+    let text = format!("{EXAMPLE}\n{line}\n");
+    let refused = parse::<EntrySettings>(Path::new("entry.toml"), &text);
+    let error = refused.expect_err("it is refused").to_string();
+    assert!(error.contains("entry.toml"), "{error}");
+    assert!(error.contains(message), "{error}");
+}
