Split the catalogue's checks, and enforce its largest size

The limit of 24 MiB on all entries was declared and never checked; splitting the file showed it. It is checked now, with a test.

--- a/crates/amaranth-config/src/catalogue/index.rs
+++ b/crates/amaranth-config/src/catalogue/index.rs
@@ -59,3 +59,11 @@
         &self.path
     }
 }
+
+/// Returns the names among a rule's targets that do not depend on the caller.
+pub(super) fn fixed_targets(rule: &RuleEntry) -> impl Iterator<Item = &str> {
+    rule.targets
+        .iter()
+        .filter_map(|target| target.name.fixed())
+        .map(|(name, _)| name)
+}
--- a/crates/amaranth-config/src/catalogue/mod.rs
+++ b/crates/amaranth-config/src/catalogue/mod.rs
@@ -3,6 +3,9 @@
 //! A clone shares all its pages with the original. [`Catalogue::with_edits`] returns a changed
 //! clone or, when anything is wrong with the outcome, every problem and no catalogue.
 
+mod bounds;
+mod chain;
+mod check;
 mod draft;
 mod index;
 mod problem;
@@ -22,11 +25,11 @@
 use index::{AliasRules, ModelUse, NameUse, ServicePath};
 use slot::Slot;
 
-pub use draft::{
-    CatalogueRestore, ConfigEdit, MAX_ADAPTERS, MAX_ALIAS_DEPTH, MAX_CATALOGUE_BYTES,
-    MAX_ENDPOINT_GROUPS, MAX_ENTRIES, MAX_ENTRY_BYTES, MAX_MODELS, MAX_RULES, MAX_RULES_PER_NAME,
-    MAX_SERVICES,
+pub use bounds::{
+    MAX_ADAPTERS, MAX_ALIAS_DEPTH, MAX_CATALOGUE_BYTES, MAX_ENDPOINT_GROUPS, MAX_ENTRIES,
+    MAX_ENTRY_BYTES, MAX_MODELS, MAX_RULES, MAX_RULES_PER_NAME, MAX_SERVICES,
 };
+pub use draft::{CatalogueRestore, ConfigEdit};
 pub use problem::{CatalogueProblem, EntryField, ProblemKind};
 pub use resolve::{ResolvedModel, ResolvedService};
 
--- a/crates/amaranth-config/src/history.rs
+++ b/crates/amaranth-config/src/history.rs
@@ -5,119 +5,28 @@
 //! that it has not read, and no snapshot makes up for them; a record has a format that this
 //! release does not know; or it has simply not read far enough yet.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use amaranth_core::ids::{ConfigRevision, LogOffset};
-use bytes::Bytes;
 
-use crate::catalogue::{Catalogue, CatalogueProblem, ConfigEdit};
-use crate::change::{ChangeId, ChangeOrigin, ConfigChange};
+use crate::catalogue::{Catalogue, ConfigEdit};
+use crate::change::{ChangeId, ConfigChange};
 use crate::deletions::DeletionLedger;
 use crate::entries::ConfigKey;
 use crate::envelope::{ConfigRecord, RecordFault};
 use crate::recent::RecentChanges;
-use crate::snapshot::{SnapshotAssembly, SnapshotId, SnapshotRecord, SnapshotState};
+use crate::snapshot::{
+    MAX_SNAPSHOT_PARTS, SnapshotAssembly, SnapshotId, SnapshotRecord, SnapshotState,
+};
+
+pub use crate::verdict::{
+    AcceptedChange, MAX_NAMED_FAULTS, RecordVerdict, RefusalReason, RefusedChange, SnapshotNote,
+};
 
 /// Snapshots whose parts are collected at once.
 const MAX_ASSEMBLIES: usize = 4;
 
-/// Most conflicting keys and problems that one verdict names.
-pub const MAX_NAMED_FAULTS: usize = 16;
-
-/// What became of one record.
-#[derive(Debug, Clone, PartialEq)]
-pub enum RecordVerdict {
-    /// The change is in force.
-    Accepted(AcceptedChange),
-    /// The change was accepted before; this is a duplicated append.
-    Duplicate {
-        /// The change.
-        change: ChangeId,
-        /// The revision that it made.
-        revision: ConfigRevision,
-    },
-    /// The change was refused. Nothing changed.
-    Refused(RefusedChange),
-    /// The record is a part of a snapshot.
-    Snapshot(SnapshotNote),
-    /// The state of a snapshot was taken over; reading goes on at its offset.
-    Restored(ConfigRevision),
-    /// The record was ruled before.
-    Passed,
-    /// The record can't be ruled, since older records are missing.
-    Unruled,
-    /// The bytes are no record; every reader passes them over.
-    Malformed(RecordFault),
-    /// The record's format is unknown; the history stops before it.
-    Blocked(u8),
-}
-
-/// A change that is in force.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct AcceptedChange {
-    /// The change.
-    pub change: ChangeId,
-    /// Who made it.
-    pub origin: ChangeOrigin,
-    /// The revision that it made.
-    pub revision: ConfigRevision,
-    /// The number of entries that it edited.
-    pub edits: usize,
-}
-
-/// A change that was refused.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct RefusedChange {
-    /// The change.
-    pub change: ChangeId,
-    /// Who made it.
-    pub origin: ChangeOrigin,
-    /// The revision that it was made against.
-    pub base: ConfigRevision,
-    /// The revision in force.
-    pub revision: ConfigRevision,
-    /// Why.
-    pub reason: RefusalReason,
-}
-
-/// Why a change was refused.
-#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-pub enum RefusalReason {
-    /// Entries were changed since the revision that the change was made against.
-    #[error("another change was first: {}", join(.0))]
-    Conflict(Vec<ConfigKey>),
-    /// The base revision is so old that deletions since then are forgotten.
-    #[error("it was made against a revision before {0}, which is too old to be ruled")]
-    TooOld(ConfigRevision),
-    /// The base revision does not exist yet.
-    #[error("it was made against a revision that does not exist")]
-    FutureBase,
-    /// The change edits nothing.
-    #[error("it edits nothing")]
-    Empty,
-    /// The outcome would not be valid.
-    #[error("{}", join(.0))]
-    Invalid(Vec<CatalogueProblem>),
-}
-
-fn join<T: ToString>(items: &[T]) -> String {
-    let texts: Vec<_> = items.iter().map(ToString::to_string).collect();
-    texts.join(", ")
-}
-
-/// What a part of a snapshot tells a reader that is up to date.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SnapshotNote {
-    /// The snapshot.
-    pub id: SnapshotId,
-    /// Its revision.
-    pub revision: ConfigRevision,
-    /// The offset of the first record that it does not include.
-    pub covers: LogOffset,
-    /// Whether all parts of it are in the log now.
-    pub complete: bool,
-}
-
 /// How far a history can be relied on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HistoryStanding {
@@ -440,13 +349,13 @@
 #[derive(Debug)]
 struct PartTally {
     id: SnapshotId,
-    seen: std::collections::BTreeSet<u32>,
+    seen: BTreeSet<u32>,
 }
 
 impl PartTally {
     /// Counts a part, and returns whether it makes its snapshot whole.
     fn count(tallies: &mut Vec<Self>, part: &SnapshotRecord) -> bool {
-        if part.index >= part.count || part.count > crate::snapshot::MAX_SNAPSHOT_PARTS {
+        if part.index >= part.count || part.count > MAX_SNAPSHOT_PARTS {
             return false;
         }
         let known = tallies.iter().position(|tally| tally.id == part.id);
@@ -456,7 +365,7 @@
             }
             tallies.push(Self {
                 id: part.id,
-                seen: std::collections::BTreeSet::new(),
+                seen: BTreeSet::new(),
             });
             tallies.len() - 1
         });
@@ -469,18 +378,3 @@
         complete
     }
 }
-
-/// Returns the records of a snapshot of `history`.
-///
-/// # Errors
-///
-/// Returns an error when the history is not complete or an entry is too large for a record.
-pub fn snapshot_records(
-    history: &ConfigHistory,
-    id: SnapshotId,
-) -> Result<Vec<Bytes>, RecordFault> {
-    let state = history
-        .snapshot_state()
-        .ok_or_else(|| RecordFault::Malformed("the history is not complete".to_owned()))?;
-    state.to_records(id)
-}
--- a/crates/amaranth-config/src/lib.rs
+++ b/crates/amaranth-config/src/lib.rs
@@ -17,3 +17,4 @@
 pub mod recent;
 pub mod shared_map;
 pub mod snapshot;
+pub mod verdict;
--- a/crates/amaranth-config/tests/catalogue.rs
+++ b/crates/amaranth-config/tests/catalogue.rs
@@ -1,9 +1,10 @@
 //! Resolution of models and services from a merged folder.
 
-use amaranth_config::catalogue::Catalogue;
-use amaranth_config::entries::PolicyPreset;
+use amaranth_config::catalogue::{Catalogue, ConfigEdit, MAX_CATALOGUE_BYTES};
+use amaranth_config::entries::{ConfigEntry, PolicyPreset, RuleEntry, RuleTarget};
 use amaranth_config::folder::{SourceDocument, merge};
 use amaranth_core::ids::{CallerId, ConfigRevision};
+use amaranth_core::request::RequestPriority;
 use rstest::rstest;
 
 const FOLDER: &str = r#"
@@ -196,3 +197,47 @@
     assert_eq!(catalogue.policy(), PolicyPreset::BatchEfficiency);
     assert_eq!(catalogue.adapter_count(), 122);
 }
+
+/// A rule whose encoded size is about 12 KB.
+fn large_rule(number: usize) -> ConfigEdit {
+    let callers = (0..120).map(|caller| format!("{caller:0100}"));
+    ConfigEdit::Put(ConfigEntry::Rule(RuleEntry {
+        name: format!("r{number}").parse().expect("the name is valid"),
+        model: format!("x{number}").parse().expect("the name is valid"),
+        callers: callers
+            .map(|name| name.parse().expect("the pattern is valid"))
+            .collect(),
+        order: 0,
+        targets: std::iter::once(RuleTarget {
+            name: "{caller}".parse().expect("the target is valid"),
+            weight: 1,
+        })
+        .collect(),
+        priority: RequestPriority::Normal,
+    }))
+}
+
+#[rstest]
+fn the_whole_has_a_largest_size() {
+    let count = MAX_CATALOGUE_BYTES / 12_000;
+    let edits: Vec<_> = (0..count + 10).map(large_rule).collect();
+    let (most, last) = edits.split_at(count / 2);
+    let half = Catalogue::default()
+        .with_edits(ConfigRevision(1), most)
+        .expect("half of it is allowed");
+    let problems = half
+        .with_edits(ConfigRevision(2), last)
+        .expect_err("all of it is refused");
+    assert_eq!(
+        problems[0].to_string(),
+        format!("the configuration has more than {MAX_CATALOGUE_BYTES} bytes of entries")
+    );
+    let removals: Vec<_> = most
+        .iter()
+        .map(|edit| ConfigEdit::Remove(edit.key()))
+        .collect();
+    let emptied = half
+        .with_edits(ConfigRevision(2), &removals)
+        .expect("removals are allowed");
+    assert!(emptied.with_edits(ConfigRevision(3), most).is_ok());
+}
