--- a/crates/amaranth-agent/tests/engine_faults.rs
+++ b/crates/amaranth-agent/tests/engine_faults.rs
@@ -302,7 +302,8 @@
     let shape = EngineShape {
         checks_fencing,
         adapter_slots: 1,
-        chunks: 30_000,
+        chunks: 300,
+        chunk_time: Duration::from_secs(1),
         ..EngineShape::default()
     };
     let engine = Arc::new(FakeEngine::new(shape));
@@ -333,7 +334,7 @@
     };
     let (served, ()) = tokio::join!(served, takeover);
     let (chunks, end) = served.unwrap();
-    assert_eq!((chunks.len(), end), (30_000, AnswerEnd::Complete));
+    assert_eq!((chunks.len(), end), (300, AnswerEnd::Complete));
     assert_eq!(engine.evicted_in_flight(), []);
     // The cut off holder saw the other's orders and stopped to take work.
     assert!(!first.is_ready().await);
