--- a/crates/amaranth-entry/src/process.rs
+++ b/crates/amaranth-entry/src/process.rs
@@ -40,6 +40,9 @@
 /// Time that answers get to leave after the last request ended.
 const CLOSING_TIME: Duration = Duration::from_secs(5);
 
+/// Longest time until the tasks of an entry that ends have let go of their sockets.
+const SHUTDOWN_TIME: Duration = Duration::from_secs(1);
+
 /// What an entry reaches the outside with.
 #[derive(Clone)]
 pub struct EntryPorts {
@@ -179,8 +182,13 @@
 impl Drop for EntryProcess {
     fn drop(&mut self) {
         self.ended.cancel();
+        // A runtime may not be shut down on a thread of another one. The ports are free when the
+        // helper thread ends, so that a successor can bind them.
         if let Some(traffic) = self.traffic.take() {
-            traffic.shutdown_background();
+            let closing = thread::spawn(move || traffic.shutdown_timeout(SHUTDOWN_TIME));
+            if closing.join().is_err() {
+                log::error!("event=shutdown_failed");
+            }
         }
     }
 }
