--- a/crates/amaranth-lab/src/commands.rs
+++ b/crates/amaranth-lab/src/commands.rs
@@ -5,6 +5,8 @@
 
 use amaranth_telemetry::usage_exit;
 
+use crate::bench;
+use crate::capacity;
 use crate::config_bench;
 use crate::demo;
 use crate::detect;
@@ -19,6 +21,8 @@
 
 Commands:
   config    Measures what configuration costs
+  bench     Measures the latency that entry and agent add
+  capacity  Measures what load and state cost each role
   demo      Runs both deployments' shapes and checks every promise
   detect    Compares failure detectors on seeded heartbeats
   faults    Runs a fleet under faults and checks every promise
@@ -47,6 +51,8 @@
             ExitCode::SUCCESS
         }
         Some("config") => config_bench::run(rest),
+        Some("bench") => bench::run(rest),
+        Some("capacity") => capacity::run(rest),
         Some("demo") => demo::run(rest),
         Some("detect") => detect::run(rest),
         Some("faults") => faults::run(rest),
--- a/crates/amaranth-lab/src/lib.rs
+++ b/crates/amaranth-lab/src/lib.rs
@@ -1,6 +1,8 @@
 //! The demo, the load generator and the experiments of amaranthfield, in one process on loopback.
 
+pub mod bench;
 pub mod caller;
+pub mod capacity;
 pub mod checker;
 pub mod commands;
 pub mod config_bench;
