--- a/crates/amaranth-lab/src/fleet/fleet_run.rs
+++ b/crates/amaranth-lab/src/fleet/fleet_run.rs
@@ -1,6 +1,7 @@
 //! A fleet under load, with the events that a run can cause and the evidence that it leaves.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use amaranth_agent::process::AgentProcess;
@@ -22,6 +23,9 @@
 /// Time between two samples.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Time after which an entry that is not ready is given to callers all the same.
+const READY_LIMIT: Duration = Duration::from_secs(10);
+
 /// An entry that was ended without warning.
 #[derive(Debug, Clone, PartialEq, Eq)]
 struct EntryKill {
@@ -188,6 +192,18 @@
             return Ok(());
         }
         let entry = EntryProcess::spawn(member.settings().clone()).await?;
+        // The balancer gives callers an entry only when it says that it is ready.
+        let ready = async {
+            while !entry.is_ready() {
+                tokio::time::sleep(SAMPLE_INTERVAL).await;
+            }
+        };
+        if tokio::time::timeout(READY_LIMIT, ready).await.is_err() {
+            log::warn!(
+                "event=entry_not_ready process={}",
+                member.settings().process
+            );
+        }
         member.put(entry);
         self.context
             .targets
@@ -195,8 +211,9 @@
         Ok(())
     }
 
-    /// Waits for the last call and returns the evidence.
+    /// Stops the load, waits for the last call and returns the evidence.
     pub async fn finish(mut self) -> FinishedRun {
+        self.context.stopped.store(true, Ordering::Relaxed);
         while !self.workload.is_finished() {
             self.sampler.sample(&self.fleet);
             tokio::time::sleep(SAMPLE_INTERVAL).await;
--- a/crates/amaranth-lab/src/workload/evidence_sampler.rs
+++ b/crates/amaranth-lab/src/workload/evidence_sampler.rs
@@ -68,7 +68,8 @@
             sampled.book.unloads_in_flight = counters.unloads_in_use;
         }
         for member in &fleet.entries {
-            let Some(entry) = member.process() else {
+            // An entry that has not caught up takes no requests: nothing is in force there yet.
+            let Some(entry) = member.process().filter(|entry| entry.is_ready()) else {
                 continue;
             };
             self.readings.push(RevisionReading {
