Keep cold adapters on two engines and fill batches by preset

Cause: demand history scattered over four first ranked engines; the batch preset changed nothing. Change: cold requests choose between two engines, adapters fall idle at 2e-4/s, and the preset batch-efficiency sends them to the fullest of four that gives up at most twice the least demand.

--- a/crates/amaranth-placement/src/copies.rs
+++ b/crates/amaranth-placement/src/copies.rs
@@ -39,7 +39,7 @@
 pub struct CopyIndex {
     copies: HashMap<AdapterRef, SmallVec<[AdapterCopy; 2]>>,
     /// Adapters that each endpoint was sent and has not reported, by endpoint.
-    sent: HashMap<EndpointIndex, SmallVec<[AdapterRef; 4]>>,
+    sent: Vec<SmallVec<[AdapterRef; 4]>>,
 }
 
 impl CopyIndex {
@@ -50,7 +50,7 @@
 
     /// Returns the adapters that an endpoint was sent and has not reported.
     pub fn sent_count(&self, endpoint: EndpointIndex) -> usize {
-        self.sent.get(&endpoint).map_or(0, SmallVec::len)
+        self.sent.get(endpoint as usize).map_or(0, SmallVec::len)
     }
 
     /// Notes that this entry sent a request for an adapter that the endpoint does not hold.
@@ -63,7 +63,11 @@
             return;
         }
         self.set(adapter, endpoint, CopyState::Sent(now));
-        self.sent.entry(endpoint).or_default().push(adapter.clone());
+        let place = endpoint as usize;
+        if self.sent.len() <= place {
+            self.sent.resize_with(place + 1, SmallVec::new);
+        }
+        self.sent[place].push(adapter.clone());
     }
 
     /// Replaces what an endpoint reported before with what it reports now.
@@ -91,7 +95,7 @@
         for adapter in report.resident.iter().chain(&report.loading) {
             self.unset(adapter, endpoint);
         }
-        for adapter in self.sent.remove(&endpoint).unwrap_or_default() {
+        for adapter in self.take_sent(endpoint) {
             self.unset(&adapter, endpoint);
         }
     }
@@ -115,9 +119,7 @@
 
     /// Drops the sent requests that a report covers or that are too old to be believed.
     fn settle_sent(&mut self, now: Timestamp, endpoint: EndpointIndex) {
-        let Some(mut sent) = self.sent.remove(&endpoint) else {
-            return;
-        };
+        let mut sent = self.take_sent(endpoint);
         sent.retain(|adapter| match self.state(adapter, endpoint) {
             Some(CopyState::Sent(at)) if now.since(at) >= SENT_TERM => {
                 self.unset(adapter, endpoint);
@@ -127,10 +129,17 @@
             _ => false,
         });
         if !sent.is_empty() {
-            self.sent.insert(endpoint, sent);
+            self.sent[endpoint as usize] = sent;
         }
     }
 
+    fn take_sent(&mut self, endpoint: EndpointIndex) -> SmallVec<[AdapterRef; 4]> {
+        self.sent
+            .get_mut(endpoint as usize)
+            .map(std::mem::take)
+            .unwrap_or_default()
+    }
+
     fn state(&self, adapter: &AdapterRef, endpoint: EndpointIndex) -> Option<CopyState> {
         self.of(adapter)
             .iter()
--- a/crates/amaranth-placement/src/demand.rs
+++ b/crates/amaranth-placement/src/demand.rs
@@ -20,7 +20,7 @@
 const SHORTEST_GAP: f64 = 1e-3;
 
 /// Rate at which adapters in use fall idle for good, per second.
-const FALL_IDLE_RATE: f64 = 1e-3;
+const FALL_IDLE_RATE: f64 = 2e-4;
 
 /// Adapters whose demand is remembered at once.
 const TABLE_LIMIT: usize = 16_384;
--- a/crates/amaranth-placement/src/presets.rs
+++ b/crates/amaranth-placement/src/presets.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 use strum::{Display, EnumIter, EnumString, IntoStaticStr};
 
-use crate::router::{CopyChoice, RouterOptions};
+use crate::router::{ColdChoice, CopyChoice, RouterOptions};
 
 /// What placement weighs more.
 #[derive(
@@ -38,6 +38,9 @@
             Self::LoadStalls => RouterOptions::default(),
             Self::BatchEfficiency => RouterOptions {
                 copy_choice: CopyChoice::Fullest,
+                cold_choice: ColdChoice::Fullest,
+                cost_tolerance: 2,
+                cold_choices: 4,
                 ..RouterOptions::default()
             },
         }
--- a/crates/amaranth-placement/src/ranking.rs
+++ b/crates/amaranth-placement/src/ranking.rs
@@ -18,8 +18,13 @@
 }
 
 /// Returns the score of an endpoint for an adapter; the highest ranks first.
-pub fn score(adapter_hash: u64, endpoint_hash: u64) -> u64 {
-    hash64(adapter_hash, &endpoint_hash.to_le_bytes())
+///
+/// It is the finalizer of SplitMix64 over both hashes, which is cheap enough for every endpoint.
+pub const fn score(adapter_hash: u64, endpoint_hash: u64) -> u64 {
+    let mut mixed = adapter_hash ^ endpoint_hash.rotate_left(32);
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
 }
 
 /// Returns the `count` items with the highest scores, the first ranked first.
--- a/crates/amaranth-placement/src/router.rs
+++ b/crates/amaranth-placement/src/router.rs
@@ -64,11 +64,24 @@
     Fullest,
 }
 
+/// Which of the first ranked endpoints takes a cold request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ColdChoice {
+    /// The one that gives up the least demand for it.
+    CheapestSlot,
+    /// The one with the most requests among those with room.
+    Fullest,
+}
+
 /// How the router weighs.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RouterOptions {
     /// Which copy is chosen among those with room.
     pub copy_choice: CopyChoice,
+    /// Which of the first ranked endpoints takes a cold request.
+    pub cold_choice: ColdChoice,
+    /// How many times the least eviction cost among them an endpoint's may be.
+    pub cost_tolerance: u32,
     /// First ranked endpoints among which a cold request chooses.
     pub cold_choices: usize,
     /// Loads per second that the store allows.
@@ -81,7 +94,9 @@
     fn default() -> Self {
         Self {
             copy_choice: CopyChoice::Emptiest,
-            cold_choices: 4,
+            cold_choice: ColdChoice::CheapestSlot,
+            cost_tolerance: 1,
+            cold_choices: 2,
             load_rate: 4.0,
             service_time: Duration::from_secs(5),
         }
@@ -224,7 +239,8 @@
             .iter()
             .filter_map(|copy| {
                 let routed = self.routed(copy.endpoint)?;
-                self.is_usable(routed, query).then_some((copy, routed))
+                let usable = routed.serves(query.target.base()) && is_open(routed, query);
+                usable.then_some((copy, routed))
             })
             .map(|(copy, routed)| {
                 let (reason, load_wait) = match copy.state {
@@ -262,10 +278,15 @@
             .filter(|&(index, routed)| self.has_slot(index, routed))
             .map(|(index, routed)| (ranking::score(hash, routed.hash), index));
         let ranked = ranking::first_ranked(scored, self.options.cold_choices.max(1));
+        let least = ranked.iter().map(|&index| self.eviction_cost(index)).min();
+        let limit = least
+            .unwrap_or_default()
+            .saturating_mul(self.options.cost_tolerance);
         let cheapest = ranked
             .iter()
             .enumerate()
-            .min_by_key(|&(place, &index)| (self.slot_cost(index), place));
+            .filter(|&(_, &index)| self.eviction_cost(index) <= limit)
+            .min_by_key(|&(place, &index)| (self.cold_cost(index), place));
         if let Some((place, &index)) = cheapest {
             let reason = if place == 0 {
                 RouteReason::FirstRanked
@@ -286,11 +307,18 @@
         routed.room() > 0 && routed.spare_slots() > self.copies.sent_count(index)
     }
 
-    fn slot_cost(&self, index: EndpointIndex) -> u32 {
+    fn eviction_cost(&self, index: EndpointIndex) -> u32 {
         self.routed(index)
             .map_or(u32::MAX, |routed| routed.report.load.eviction_cost)
     }
 
+    fn cold_cost(&self, index: EndpointIndex) -> u32 {
+        match self.options.cold_choice {
+            ColdChoice::CheapestSlot => self.eviction_cost(index),
+            ColdChoice::Fullest => self.routed(index).map_or(u32::MAX, RoutedEndpoint::room),
+        }
+    }
+
     /// Returns how long a load that is asked for now is expected to take.
     fn load_wait(&self) -> Duration {
         let permits = f64::from(self.loads_pending) / self.options.load_rate;
@@ -306,13 +334,7 @@
             .into_iter()
             .flatten()
             .filter_map(|&index| Some((index, self.routed(index)?)))
-            .filter(|(_, routed)| self.is_usable(routed, query))
-    }
-
-    fn is_usable(&self, routed: &RoutedEndpoint, query: &RouteQuery) -> bool {
-        routed.report.ready
-            && routed.serves(query.target.base())
-            && !query.excluded.contains(&routed.report.endpoint)
+            .filter(|(_, routed)| is_open(routed, query))
     }
 
     fn choice(&self, index: EndpointIndex, reason: RouteReason) -> Option<RouteChoice> {
@@ -365,6 +387,11 @@
     }
 }
 
+/// Returns whether an endpoint takes the request as far as its state goes.
+fn is_open(routed: &RoutedEndpoint, query: &RouteQuery) -> bool {
+    routed.report.ready && !query.excluded.contains(&routed.report.endpoint)
+}
+
 fn pending_of(routed: Option<&RoutedEndpoint>) -> u32 {
     routed.map_or(0, |routed| u32::from(routed.report.load.loads_pending))
 }
