--- /dev/null
+++ b/crates/amaranth-placement/tests/broker_properties.rs
@@ -0,0 +1,119 @@
+//! The broker keeps the store's rate and transit limit in any order of asks, and prefers the load
+//! that saves the most.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use amaranth_core::time::Timestamp;
+use amaranth_core::units::EventRate;
+use amaranth_placement::broker::{BrokerOptions, BrokerReply, LoadBroker, LoadKey};
+use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
+use proptest::test_runner::RngSeed;
+
+const RATE: f64 = 4.0;
+const TRANSIT_LIMIT: usize = 3;
+
+fn broker() -> LoadBroker {
+    LoadBroker::open(BrokerOptions {
+        load_rate: EventRate(RATE),
+        transit_limit: TRANSIT_LIMIT,
+        ..BrokerOptions::default()
+    })
+}
+
+fn key(number: u8) -> LoadKey {
+    LoadKey {
+        endpoint: "engine-0".parse().expect("the name is well formed"),
+        adapter: format!("a{number}@1")
+            .parse()
+            .expect("the name is well formed"),
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn grants_keep_rate_and_transit_limit(
+        asks in proptest::collection::vec((any::<u8>(), 0..400_u64, any::<u16>(), any::<bool>()), 1..200)
+    ) {
+        let mut broker = broker();
+        let mut now = Timestamp::ZERO;
+        let mut held = BTreeSet::new();
+        let mut granted = 0_u32;
+        for (number, wait, saved, release) in asks {
+            now = now + Duration::from_millis(wait);
+            let key = key(number % 16);
+            if release {
+                broker.release(&key);
+                held.remove(&key);
+                continue;
+            }
+            if held.contains(&key) {
+                continue;
+            }
+            if let BrokerReply::Granted(_) = broker.request(now, key.clone(), saved.into(), false) {
+                held.insert(key);
+                granted += 1;
+            }
+            prop_assert!(broker.in_transit() <= TRANSIT_LIMIT);
+            // One unused start may be made up for, beside the first.
+            let allowed = now.as_micros() as f64 / 1e6 * RATE + 2.0;
+            prop_assert!(f64::from(granted) <= allowed, "{granted} grants by {now}");
+        }
+    }
+}
+
+#[test]
+fn permit_goes_to_the_load_that_saves_the_most() {
+    let mut broker = broker();
+    let start = Timestamp::from_millis(1_000);
+    // The first start and the one that went unused before are granted at once.
+    for number in [0, 4] {
+        let reply = broker.request(start, key(number), 1, false);
+        assert!(matches!(reply, BrokerReply::Granted(_)), "{reply:?}");
+    }
+    for (number, saved) in [(1, 10), (2, 90), (3, 50)] {
+        let reply = broker.request(start, key(number), saved, false);
+        assert!(matches!(reply, BrokerReply::Wait(_)), "{reply:?}");
+    }
+    let next = start + Duration::from_millis(250);
+    assert!(matches!(
+        broker.request(next, key(1), 10, false),
+        BrokerReply::Wait(_)
+    ));
+    assert!(matches!(
+        broker.request(next, key(2), 90, false),
+        BrokerReply::Granted(_)
+    ));
+}
+
+#[test]
+fn new_broker_honours_a_load_in_transit() {
+    let mut broker = broker();
+    let now = Timestamp::from_millis(5);
+    assert!(matches!(
+        broker.request(now, key(0), 0, true),
+        BrokerReply::Granted(_)
+    ));
+    assert_eq!(broker.in_transit(), 1);
+}
+
+#[test]
+fn two_brokers_at_once_grant_at_most_twice_the_limit() {
+    let mut brokers = [broker(), broker()];
+    let mut now = Timestamp::ZERO;
+    for number in 0..40 {
+        now = now + Duration::from_millis(200);
+        for broker in &mut brokers {
+            broker.request(now, key(number), 1, false);
+        }
+    }
+    let in_transit: usize = brokers.iter().map(LoadBroker::in_transit).sum();
+    assert_eq!(in_transit, 2 * TRANSIT_LIMIT);
+}
