--- a/crates/amaranth-placement/tests/queue_differential.rs
+++ b/crates/amaranth-placement/tests/queue_differential.rs
@@ -107,7 +107,7 @@
                 }
                 QueueCall::Pop => {
                     let expected = naive.ready_count();
-                    let popped = queue.pop_ready();
+                    let popped = queue.pop_ready(now);
                     prop_assert_eq!(popped.is_some(), expected > 0);
                     if let Some(popped) = popped {
                         prop_assert_eq!(naive.remove(popped.request.id), true);
