Announce an endpoint once it takes work, and a new revision at once

Cause: a fleet was called ready as soon as each endpoint was announced, before its agent held the lease, and operators saw an agent lag by a second after it had the revision.

--- a/crates/amaranth-agent/src/announcer.rs
+++ b/crates/amaranth-agent/src/announcer.rs
@@ -100,7 +100,9 @@
     let reply =
         link.call(|client, context| async move { client.announce(context, announcement).await });
     match reply.await {
-        Some(Ok(reply)) => core.revision.raise(reply.revision),
+        // Operators see at once that the agent has the revision.
+        Some(Ok(reply)) if core.revision.raise(reply.revision) => core.changed.raise(),
+        Some(Ok(_)) => {}
         Some(Err(error)) => {
             log::warn!(
                 "event=announcement_refused entry={} {error}",
@@ -116,9 +118,9 @@
 pub struct HeardRevision(AtomicU64);
 
 impl HeardRevision {
-    /// Takes a revision, which counts if it is newer.
-    pub fn raise(&self, revision: ConfigRevision) {
-        self.0.fetch_max(revision.0, Ordering::Relaxed);
+    /// Takes a revision, and returns whether it is newer.
+    pub fn raise(&self, revision: ConfigRevision) -> bool {
+        self.0.fetch_max(revision.0, Ordering::Relaxed) < revision.0
     }
 
     /// Returns the newest revision.
--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -3,8 +3,8 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranth_control::lease::record::LeaseHolder;
@@ -265,6 +265,7 @@
         changed,
         revision: HeardRevision::default(),
         leaving: AtomicBool::new(false),
+        found: Mutex::default(),
         announcements: AtomicU64::new(0),
         identity,
         limits,
--- a/crates/amaranth-agent/src/server.rs
+++ b/crates/amaranth-agent/src/server.rs
@@ -1,8 +1,8 @@
 //! The agent's tarpc service.
 
-use std::collections::HashMap;
-use std::sync::Arc;
+use std::collections::{HashMap, HashSet};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use amaranth_core::errors::{Error, ErrorKind, Result, not_found};
@@ -66,6 +66,8 @@
     pub revision: HeardRevision,
     /// Whether the agent takes no new work.
     pub leaving: AtomicBool,
+    /// Endpoints that took work at least once in this life.
+    pub found: Mutex<HashSet<EndpointId>>,
     /// Counts announcements.
     pub announcements: AtomicU64,
 }
@@ -78,10 +80,21 @@
             sequence: self.announcements.fetch_add(1, Ordering::Relaxed),
             leaving: self.leaving.load(Ordering::Acquire),
             revision: self.revision.get(),
-            endpoints: self.reports(),
+            endpoints: self.announced_reports(),
         }
     }
 
+    /// Returns the reports of the endpoints that took work at least once in this life. Entries
+    /// can do nothing with others, and would count them as present.
+    fn announced_reports(&self) -> Vec<EndpointReport> {
+        let mut found = self.found.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut reports = self.reports();
+        let ready = reports.iter().filter(|report| report.ready);
+        found.extend(ready.map(|report| report.endpoint.clone()));
+        reports.retain(|report| found.contains(&report.endpoint));
+        reports
+    }
+
     /// Returns the reports of all endpoints in the order of their names.
     pub fn reports(&self) -> Vec<EndpointReport> {
         let engines = self
