Give up an engine's stream that has gone silent and resume it

Change: a stream silent for 3 s (10 s before its first chunk) is resumed at the engine as a broken one is; both times are settings. A test with a silent connection before the first chunk and in the middle wants the whole answer from one run.

--- a/crates/amaranth-agent/src/engine_control/requests.rs
+++ b/crates/amaranth-agent/src/engine_control/requests.rs
@@ -124,6 +124,8 @@
             slot: held.slot.clone(),
             inventory: self.inventory.clone(),
             deadline: self.context.clock.instant(held.deadline),
+            stream_silence: self.context.limits.stream_silence,
+            first_chunk_silence: self.context.limits.first_chunk_silence,
             trace: held.request.trace,
         };
         let handle = self.handle.clone();
--- a/crates/amaranth-agent/src/engine_traffic.rs
+++ b/crates/amaranth-agent/src/engine_traffic.rs
@@ -37,6 +37,10 @@
     pub inventory: Option<Arc<EngineInventory>>,
     /// When the caller gives up.
     pub deadline: Instant,
+    /// Time without a chunk after which the stream is taken to be lost.
+    pub stream_silence: Duration,
+    /// The same for the first chunk.
+    pub first_chunk_silence: Duration,
     /// The span that is passed on to the engine.
     pub trace: TraceContext,
 }
@@ -158,7 +162,7 @@
     next: &mut u64,
 ) -> Result<(), StreamFault> {
     check_identity(target, &answer.served_model).map_err(StreamFault::Final)?;
-    while let Some(event) = answer.events.next().await {
+    while let Some(event) = next_event(dispatch, &mut answer, *next).await? {
         let data = event.map_err(|error| {
             StreamFault::Broken(Error::new(ErrorKind::EndpointFailed, error.to_string()))
         })?;
@@ -169,6 +173,23 @@
     dispatch.slot.complete().map_err(StreamFault::Final)
 }
 
+/// Waits for the next event. A stream that stays silent for too long is taken to be lost, since
+/// something between agent and engine may have forgotten the connection.
+async fn next_event(
+    dispatch: &EngineDispatch,
+    answer: &mut EngineAnswer,
+    passed_on: u64,
+) -> Result<Option<PortResult<Bytes>>, StreamFault> {
+    let limit = match passed_on {
+        0 => dispatch.first_chunk_silence,
+        _ => dispatch.stream_silence,
+    };
+    timeout(limit, answer.events.next()).await.map_err(|_| {
+        let message = format!("the engine was silent for {} ms", limit.as_millis());
+        StreamFault::Broken(Error::new(ErrorKind::EndpointFailed, message))
+    })
+}
+
 /// Returns what a completion that did not start means for its request.
 fn start_fault(error: PortError) -> StreamFault {
     match error {
--- a/crates/amaranth-agent/src/settings.rs
+++ b/crates/amaranth-agent/src/settings.rs
@@ -175,6 +175,12 @@
     /// Most that two VMs' clocks drift apart within one lease term.
     #[serde(with = "humantime_serde")]
     pub clock_skew: Duration,
+    /// Time without a chunk after which an engine's stream is taken to be lost and resumed.
+    #[serde(with = "humantime_serde")]
+    pub stream_silence: Duration,
+    /// The same for the first chunk, before which the engine reads the prompt.
+    #[serde(with = "humantime_serde")]
+    pub first_chunk_silence: Duration,
     /// Time after which the answer to an order is given up.
     #[serde(with = "humantime_serde")]
     pub order_timeout: Duration,
@@ -194,6 +200,8 @@
             lease_term: Duration::from_secs(60),
             lease_renewal: Duration::from_secs(20),
             clock_skew: Duration::from_secs(1),
+            stream_silence: Duration::from_secs(3),
+            first_chunk_silence: Duration::from_secs(10),
             order_timeout: Duration::from_secs(5),
         }
     }
@@ -247,6 +255,8 @@
             ("entry_timeout", self.entry_timeout),
             ("inventory_interval", self.inventory_interval),
             ("lease_renewal", self.lease_renewal),
+            ("stream_silence", self.stream_silence),
+            ("first_chunk_silence", self.first_chunk_silence),
             ("order_timeout", self.order_timeout),
         ];
         let shortest = self.lease_renewal + self.order_timeout + self.clock_skew;
--- a/crates/amaranth-agent/tests/engine_faults.rs
+++ b/crates/amaranth-agent/tests/engine_faults.rs
@@ -91,6 +91,27 @@
     assert_eq!(fixture.engine.calls().len(), 1);
 }
 
+/// A connection that goes silent while the engine goes on is given up and resumed.
+#[rstest]
+#[case::before_the_first_chunk(0)]
+#[case::in_the_middle(2)]
+#[tokio::test(start_paused = true)]
+async fn silent_connection_is_resumed_at_the_engine(#[case] chunk: u64) {
+    let shape = EngineShape {
+        resumes: true,
+        ..EngineShape::default()
+    };
+    let fixture = AgentFixture::spawn(shape, AgentLimits::default()).await;
+    fixture.engine.set_faults(EngineFaults {
+        falls_silent_at: Some(chunk),
+        ..EngineFaults::default()
+    });
+    let (chunks, end) = fixture.complete(request(1, "manifest@3")).await.unwrap();
+    assert_eq!(end, AnswerEnd::Complete);
+    assert_eq!(data(chunks), whole(1, "manifest@3"));
+    assert_eq!(fixture.engine.calls().len(), 1);
+}
+
 /// A load that fails is refused as not run, and the next one works.
 #[tokio::test(start_paused = true)]
 async fn failed_load_is_not_an_answer() {
--- a/crates/amaranth-agent/tests/fakes/engine.rs
+++ b/crates/amaranth-agent/tests/fakes/engine.rs
@@ -32,6 +32,8 @@
     pub breaks_at: Option<u64>,
     /// The connection of the first stream breaks before this chunk, and the engine goes on.
     pub drops_connection_at: Option<u64>,
+    /// The connection of the first stream goes silent before this chunk, and the engine goes on.
+    pub falls_silent_at: Option<u64>,
     /// Nothing is answered.
     pub down: bool,
 }
@@ -260,6 +262,10 @@
             let error = PortError::Uncertain("connection lost".to_owned());
             return Some((Err(error), u64::MAX));
         }
+        if faults.falls_silent_at == Some(number) {
+            self.state.lock().unwrap().faults.falls_silent_at = None;
+            return std::future::pending().await;
+        }
         if number >= self.shape.chunks || !self.state.lock().unwrap().running.contains_key(&id) {
             self.state.lock().unwrap().running.remove(&id);
             return None;
