Keep the connection of a stream that was read to its closing event

Cause: the agent's engine client and the lab's callers dropped the body at [DONE], before the end of the chunked body, so that hyper closed the connection and every completion opened another. Ruled out as the main cost: the control thread, 0.06 ms a request.

--- a/crates/amaranth-lab/src/caller/completion.rs
+++ b/crates/amaranth-lab/src/caller/completion.rs
@@ -5,6 +5,7 @@
 
 use amaranth_core::ids::ConfigRevision;
 use amaranth_core::request::CompletionApi;
+use amaranth_ports::http_client::drain;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use serde::Deserialize;
@@ -194,6 +195,8 @@
         splitter.push(frame.data_ref().map_or(&[], |data| data.as_ref()));
         while let Some(data) = splitter.next_data() {
             if let Some(result) = answer.take(&data, started) {
+                // The rest is read to its end, so that the connection serves the next call.
+                drain(response.body);
                 return CompletionOutcome {
                     result,
                     revision,
--- a/crates/amaranth-lab/src/capacity/test_path.rs
+++ b/crates/amaranth-lab/src/capacity/test_path.rs
@@ -29,6 +29,9 @@
 /// Time within which the path must be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// Ended answers that the agent keeps for callers whose entry dies: 15 s of the highest rate.
+const HELD_ANSWERS: usize = 16_384;
+
 /// Time between two looks whether the path is ready.
 const READY_POLL: Duration = Duration::from_millis(20);
 
@@ -186,6 +189,9 @@
         log_level: LevelFilter::Off,
         collector: None,
         endpoints: vec![endpoint],
-        limits: AgentLimits::default(),
+        limits: AgentLimits {
+            answers: HELD_ANSWERS,
+            ..AgentLimits::default()
+        },
     })
 }
--- a/crates/amaranth-ports/src/http_client.rs
+++ b/crates/amaranth-ports/src/http_client.rs
@@ -39,6 +39,18 @@
 /// The header that carries the request id.
 pub const REQUEST_ID: &str = "x-request-id";
 
+/// Time that the end of a body gets to arrive after its last wanted byte.
+const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Reads a body to its end in the background.
+///
+/// A connection whose body was dropped half way is closed; one whose body was read to the end is
+/// kept for the next call.
+pub fn drain(mut body: Incoming) {
+    let reading = async move { while let Some(Ok(_)) = body.frame().await {} };
+    tokio::spawn(tokio::time::timeout(DRAIN_TIMEOUT, reading));
+}
+
 /// A client of one address that keeps its connections open between calls.
 #[derive(Debug, Clone)]
 pub struct HttpClient {
--- a/crates/amaranth-ports/src/http_engine.rs
+++ b/crates/amaranth-ports/src/http_engine.rs
@@ -18,7 +18,7 @@
     CacheEvent, EngineAnswer, EngineCall, EngineInventory, EngineLoadReport, EnginePort, EngineRole,
 };
 use crate::errors::{PortError, PortResult};
-use crate::http_client::{HttpClient, REQUEST_ID, check_status};
+use crate::http_client::{HttpClient, REQUEST_ID, check_status, drain};
 use crate::sse::{DONE, SseDecoder};
 
 /// Time that an engine has for a report.
@@ -123,10 +123,10 @@
 
 /// What is left of an event stream.
 struct EventReader {
-    body: Incoming,
+    /// The rest of the body; nothing once the stream has ended.
+    body: Option<Incoming>,
     decoder: SseDecoder,
     ready: std::collections::VecDeque<Bytes>,
-    ended: bool,
 }
 
 impl EventReader {
@@ -137,12 +137,12 @@
                 if event.as_ref() != DONE {
                     return Some(Ok(event));
                 }
-                self.ended = true;
-            }
-            if self.ended {
-                return None;
+                // The rest is read to its end, so that the connection serves the next call.
+                if let Some(rest) = self.body.take() {
+                    drain(rest);
+                }
             }
-            match self.body.frame().await {
+            match self.body.as_mut()?.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
                         self.ready.extend(self.decoder.push(&bytes));
@@ -155,7 +155,7 @@
     }
 
     fn broken(&mut self, what: &str) -> Option<PortResult<Bytes>> {
-        self.ended = true;
+        self.body = None;
         let error = PortError::Uncertain(format!("stream broke off: {what}"));
         Some(Err(error))
     }
@@ -164,10 +164,9 @@
 /// Turns a body into the data of its events.
 fn event_stream(body: Incoming) -> BoxStream<'static, PortResult<Bytes>> {
     let reader = EventReader {
-        body,
+        body: Some(body),
         decoder: SseDecoder::open(),
         ready: std::collections::VecDeque::new(),
-        ended: false,
     };
     stream::unfold(reader, |mut reader| async {
         let event = reader.next().await?;
