--- a/crates/amaranth-ctl/src/commands/apply.rs
+++ b/crates/amaranth-ctl/src/commands/apply.rs
@@ -22,6 +22,9 @@
 use crate::output::CommandOutput;
 use crate::settings::CtlSettings;
 
+/// Edits that are listed; the rest are counted. `diff` and `--json` list them all.
+const SHOWN_EDITS: usize = 20;
+
 /// Wait between two surveys of the daemons.
 const SURVEY_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -51,9 +54,13 @@
 
 impl fmt::Display for ApplyReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for edit in &self.edits {
+        for edit in self.edits.iter().take(SHOWN_EDITS) {
             writeln!(formatter, "{edit}")?;
         }
+        let hidden = self.edits.len().saturating_sub(SHOWN_EDITS);
+        if hidden > 0 {
+            writeln!(formatter, "and {hidden} more")?;
+        }
         write!(formatter, "{}: ", self.outcome)?;
         write!(
             formatter,
--- a/crates/amaranth-entry/src/main.rs
+++ b/crates/amaranth-entry/src/main.rs
@@ -12,7 +12,7 @@
     name: "amaranth-entry",
     version: env!("CARGO_PKG_VERSION"),
     about: "Meets callers over HTTP and routes their requests to the agents beside the endpoints.",
-    example: include_str!("../settings.example.toml"),
+    example: include_str!("../../../examples/entry.toml"),
 };
 
 fn main() -> ExitCode {
--- a/crates/amaranth-entry/tests/program.rs
+++ b/crates/amaranth-entry/tests/program.rs
@@ -7,7 +7,7 @@
 use rstest::rstest;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_amaranth-entry");
-const EXAMPLE: &str = include_str!("../settings.example.toml");
+const EXAMPLE: &str = include_str!("../../../examples/entry.toml");
 
 fn run(arguments: &[&str]) -> Output {
     let output = Command::new(PROGRAM).args(arguments).output();
--- a/crates/amaranth-entry/tests/settings.rs
+++ b/crates/amaranth-entry/tests/settings.rs
@@ -6,7 +6,7 @@
 use amaranth_telemetry::settings::parse;
 use rstest::rstest;
 
-const EXAMPLE: &str = include_str!("../settings.example.toml");
+const EXAMPLE: &str = include_str!("../../../examples/entry.toml");
 
 #[test]
 fn the_example_is_accepted() {
