--- a/crates/amaranth-entry/src/directory.rs
+++ b/crates/amaranth-entry/src/directory.rs
@@ -15,7 +15,7 @@
 };
 use amaranth_core::errors::{Error, ErrorKind, Result};
 use amaranth_core::ids::{EndpointId, ModelName, ProcessId, ServiceName};
-use amaranth_core::membership::{AgentAnnouncement, ProcessIdentity};
+use amaranth_core::membership::{AgentAnnouncement, EndpointReport, ProcessIdentity};
 use amaranth_core::request::ModelTarget;
 use amaranth_core::time::{MonotonicClock, Timestamp};
 use amaranth_placement::router::{EndpointRouter, RouteQuery, RouteReason, RouterOptions};
@@ -238,11 +238,24 @@
         for change in &changes {
             self.take_change(now, change);
         }
-        if !changes.is_empty() {
+        if changes.iter().any(|change| self.alters_snapshot(change)) {
             self.publish();
         }
     }
 
+    /// Returns whether a change concerns who can be reached. A usual update tells load and
+    /// adapters only, which the router takes: the endpoints of one life of an agent are fixed.
+    fn alters_snapshot(&self, change: &MemberChange) -> bool {
+        let MemberChange::Updated(process) = change else {
+            return true;
+        };
+        let snapshot = self.directory.snapshot.load();
+        let is_new = |report: &EndpointReport| !snapshot.endpoints.contains_key(&report.endpoint);
+        self.members
+            .get(process)
+            .is_some_and(|member| member.payload().endpoints.iter().any(is_new))
+    }
+
     fn take_change(&mut self, now: Timestamp, change: &MemberChange) {
         match change {
             MemberChange::Joined(process) | MemberChange::Replaced(process) => {
