--- a/crates/amaranth-lab/src/faults/injector.rs
+++ b/crates/amaranth-lab/src/faults/injector.rs
@@ -61,7 +61,7 @@
                     named.engine.set_faults(engine_faults(fault));
                 }
             }
-            FaultKind::EngineRestart => self.engine(run).restart(),
+            FaultKind::EngineRestart => run.restart_engine(self.engine_agent(run)),
             FaultKind::ServiceAnswersLost | FaultKind::ServiceCallsLost => {
                 for service in &run.fleet.services {
                     service.set_faults(service_faults(fault));
@@ -137,13 +137,6 @@
         Ok(())
     }
 
-    fn engine<'fleet>(
-        &self,
-        run: &'fleet FleetRun,
-    ) -> &'fleet amaranth_standin::engine::EngineStandin {
-        &run.fleet.engines[self.engine_agent(run)].engine
-    }
-
     /// The agents of the engines come first.
     const fn engine_agent(&self, run: &FleetRun) -> usize {
         self.turn % run.fleet.engines.len()
--- a/crates/amaranth-lab/src/fleet/fleet_run.rs
+++ b/crates/amaranth-lab/src/fleet/fleet_run.rs
@@ -8,6 +8,7 @@
 use amaranth_core::errors::{Result, internal};
 use amaranth_core::ids::{IdempotencyKey, ProcessId};
 use amaranth_entry::process::EntryProcess;
+use amaranth_standin::engine::EngineStandin;
 use tokio::task::JoinHandle;
 
 use crate::checker::evidence::{
@@ -44,6 +45,8 @@
     sampler: EvidenceSampler,
     evidence: RunEvidence,
     kills: Vec<EntryKill>,
+    /// Requests of each engine that its restarts ended.
+    lost_by_restart: Vec<u64>,
     workload: JoinHandle<RunRecords>,
 }
 
@@ -64,12 +67,14 @@
     pub fn spawn(fleet: DemoFleet, options: WorkloadOptions) -> Self {
         let context = Arc::new(RunContext::open(fleet.shape.clone(), call_targets(&fleet)));
         let workload = tokio::spawn(run_workload(Arc::clone(&context), options));
+        let lost_by_restart = vec![0; fleet.engines.len()];
         Self {
             sampler: EvidenceSampler::open(&fleet, context.begun),
             fleet,
             context,
             evidence: RunEvidence::default(),
             kills: Vec::new(),
+            lost_by_restart,
             workload,
         }
     }
@@ -124,15 +129,21 @@
             tokio::time::sleep(SAMPLE_INTERVAL).await;
         }
         let engine = &self.fleet.engines[index];
-        let counters = engine.engine.counters();
         self.evidence.stops.push(PlannedStop {
             endpoint: engine.id.clone(),
             told,
             ended: self.elapsed(),
-            cut: counters.accepted - counters.completed - counters.cancelled,
+            cut: unended(&engine.engine) - self.lost_by_restart[index],
         });
     }
 
+    /// Restarts engine `index` empty, which ends what it runs.
+    pub fn restart_engine(&mut self, index: usize) {
+        let engine = &self.fleet.engines[index].engine;
+        engine.restart();
+        self.lost_by_restart[index] = unended(engine);
+    }
+
     /// Ends an agent without warning.
     pub fn kill_agent(&mut self, index: usize) {
         if let Some(agent) = self.fleet.agents[index].take() {
@@ -237,6 +248,12 @@
     }
 }
 
+/// Returns the requests that an engine took and neither completed nor cancelled.
+fn unended(engine: &EngineStandin) -> u64 {
+    let counters = engine.counters();
+    counters.accepted - counters.completed - counters.cancelled
+}
+
 /// Starts a process on its former addresses, trying again while one of its ports is taken: an
 /// outgoing connection of this process may hold it for a while.
 async fn retry_start<Process, Fault, Starting>(start: impl Fn() -> Starting) -> Result<Process>
