Share the beginning of the programs and the log of decisions

Cause: duplicates showed three copies of main's argument and settings handling and two of the decision log (agent and entry, alike but for one method's name).

--- a/crates/amaranth-agent/src/engine_control/handle.rs
+++ b/crates/amaranth-agent/src/engine_control/handle.rs
@@ -9,11 +9,11 @@
 use super::EngineEvent;
 use crate::announcer::ChangeSignal;
 use crate::clock::AgentClock;
-use crate::decision_log::DecisionLog;
 use crate::lease_keeper::LeaseHandle;
 use crate::load_permits::LoadPermits;
 use crate::settings::AgentLimits;
 use crate::task_group::TaskGroup;
+use amaranth_telemetry::decision_log::DecisionLog;
 
 /// What every engine of the agent shares.
 pub struct EngineContext {
--- a/crates/amaranth-agent/src/lease_keeper.rs
+++ b/crates/amaranth-agent/src/lease_keeper.rs
@@ -15,9 +15,9 @@
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
 use crate::clock::AgentClock;
-use crate::decision_log::DecisionLog;
 use crate::settings::AgentLimits;
 use crate::task_group::TaskGroup;
+use amaranth_telemetry::decision_log::DecisionLog;
 
 /// Records that one read asks for.
 const PAGE_RECORDS: usize = 512;
--- a/crates/amaranth-agent/src/lib.rs
+++ b/crates/amaranth-agent/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod claim_outcomes;
 pub mod clock;
 pub mod control_thread;
-pub mod decision_log;
 pub mod engine_control;
 pub mod engine_orders;
 pub mod engine_traffic;
--- a/crates/amaranth-agent/src/main.rs
+++ b/crates/amaranth-agent/src/main.rs
@@ -4,9 +4,9 @@
 
 use amaranth_agent::control_thread::ControlThread;
 use amaranth_agent::{AgentParts, AgentPorts, AgentProcess, AgentSettings};
-use amaranth_telemetry::arguments::{ProgramArguments, ProgramInfo};
+use amaranth_telemetry::arguments::ProgramInfo;
 use amaranth_telemetry::shutdown::ShutdownSignal;
-use amaranth_telemetry::{logs, metrics, settings, spans, usage_exit};
+use amaranth_telemetry::{logs, metrics, program, spans};
 use miette::{IntoDiagnostic, Result};
 
 const PROGRAM: ProgramInfo = ProgramInfo {
@@ -17,38 +17,7 @@
 };
 
 fn main() -> ExitCode {
-    let arguments = match ProgramArguments::parse(&PROGRAM, std::env::args_os().skip(1)) {
-        Ok(arguments) => arguments,
-        Err(error) => {
-            eprintln!("{}: {error}", PROGRAM.name);
-            return usage_exit();
-        }
-    };
-    let (path, check) = match arguments {
-        ProgramArguments::Print(text) => {
-            println!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        ProgramArguments::Run { settings, check } => (settings, check),
-    };
-    let settings = match settings::read::<AgentSettings>(&path) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{:?}", miette::Report::new(error));
-            return usage_exit();
-        }
-    };
-    if check {
-        println!("{} is good", path.display());
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    program::run(&PROGRAM, run)
 }
 
 #[tokio::main]
--- a/crates/amaranth-agent/src/process.rs
+++ b/crates/amaranth-agent/src/process.rs
@@ -24,7 +24,6 @@
 use crate::claim_outcomes::OutcomeRecorder;
 use crate::clock::AgentClock;
 use crate::control_thread::ControlThread;
-use crate::decision_log::DecisionLog;
 use crate::engine_control::{self, EngineContext};
 use crate::entry_directory::EntryDirectory;
 use crate::lease_keeper::LeaseTask;
@@ -34,6 +33,7 @@
 use crate::service_desk::ServiceDesk;
 use crate::settings::{AgentSettings, EndpointKind};
 use crate::task_group::TaskGroup;
+use amaranth_telemetry::decision_log::DecisionLog;
 
 /// Time between two looks for answers that nobody reads and services that do not answer.
 const UPKEEP_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/amaranth-agent/src/server.rs
+++ b/crates/amaranth-agent/src/server.rs
@@ -21,12 +21,12 @@
 
 use crate::announcer::{ChangeSignal, HeardRevision};
 use crate::answer_store::AnswerStore;
-use crate::decision_log::DecisionLog;
 use crate::engine_control::{EngineEvent, EngineHandle};
 use crate::entry_directory::EntryDirectory;
 use crate::lease_keeper::LeaseHandle;
 use crate::service_desk::ServiceDesk;
 use crate::settings::AgentLimits;
+use amaranth_telemetry::decision_log::DecisionLog;
 
 /// One instance of a plain service behind the agent.
 pub struct ServiceEndpoint {
--- a/crates/amaranth-entry/src/answer_reader.rs
+++ b/crates/amaranth-entry/src/answer_reader.rs
@@ -201,7 +201,7 @@
         let Ok((next, route_reason)) = self.state.directory.visit(&query) else {
             return Err(reason);
         };
-        self.state.decisions.note(format!(
+        self.state.decisions.record(format!(
             "event=answer_retried request={} from={} to={} reason={route_reason} cause={}",
             self.id,
             request.endpoint,
--- a/crates/amaranth-entry/src/claim_dispatch.rs
+++ b/crates/amaranth-entry/src/claim_dispatch.rs
@@ -117,7 +117,7 @@
         ClaimWay::Gone => SettleOutcome::Unknown,
         ClaimWay::Unknown => SettleOutcome::Unreachable,
     };
-    state.decisions.note(format!(
+    state.decisions.record(format!(
         "event=claim_settled key={} claim={id} agent={} outcome={}",
         wish.key,
         wish.agent,
--- a/crates/amaranth-entry/src/claim_task.rs
+++ b/crates/amaranth-entry/src/claim_task.rs
@@ -215,7 +215,7 @@
             agent_incarnation: wish.agent_incarnation,
         });
         open.request.time_left = open.deadline.since(self.state.clock.now());
-        self.state.decisions.note(format!(
+        self.state.decisions.record(format!(
             "event=claim_dispatched request={request} key={} claim={claim} agent={} endpoint={}",
             wish.key, wish.agent, wish.endpoint
         ));
--- a/crates/amaranth-entry/src/entry_state.rs
+++ b/crates/amaranth-entry/src/entry_state.rs
@@ -12,11 +12,11 @@
 
 use crate::claim_client::ClaimClient;
 use crate::config_tail::CurrentCatalogue;
-use crate::decision_log::DecisionLog;
 use crate::directory::Directory;
 use crate::readiness::EntryReadiness;
 use crate::retry_budget::SharedRetryBudget;
 use crate::settings::EntrySettings;
+use amaranth_telemetry::decision_log::DecisionLog;
 
 /// Shared by the HTTP routes, the tarpc service and the control thread.
 pub struct EntryState {
--- a/crates/amaranth-entry/src/http/completions.rs
+++ b/crates/amaranth-entry/src/http/completions.rs
@@ -226,7 +226,7 @@
         let query = first_query(self.resolved.target.clone());
         let (visit, reason) = state.directory.visit(&query)?;
         state.retries.deposit();
-        state.decisions.note(format!(
+        state.decisions.record(format!(
             "event=request_routed request={} model={} revision={} endpoint={} reason={reason}",
             self.id,
             self.resolved.target,
--- a/crates/amaranth-entry/src/lib.rs
+++ b/crates/amaranth-entry/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod claim_task;
 pub mod config_tail;
 pub mod control_thread;
-pub mod decision_log;
 pub mod directory;
 pub mod endpoint_visit;
 pub mod entry_state;
--- a/crates/amaranth-entry/src/main.rs
+++ b/crates/amaranth-entry/src/main.rs
@@ -3,10 +3,10 @@
 use std::process::ExitCode;
 
 use amaranth_entry::{EntryPorts, EntryProcess, EntrySettings};
-use amaranth_telemetry::arguments::{ProgramArguments, ProgramInfo};
+use amaranth_telemetry::arguments::ProgramInfo;
 use amaranth_telemetry::shutdown::ShutdownSignal;
-use amaranth_telemetry::{logs, metrics, settings, spans, usage_exit};
-use miette::{IntoDiagnostic, Report};
+use amaranth_telemetry::{logs, metrics, program, spans};
+use miette::IntoDiagnostic;
 
 const INFO: ProgramInfo = ProgramInfo {
     name: "amaranth-entry",
@@ -16,37 +16,7 @@
 };
 
 fn main() -> ExitCode {
-    let arguments = match ProgramArguments::parse(&INFO, std::env::args_os().skip(1)) {
-        Ok(arguments) => arguments,
-        Err(error) => {
-            eprintln!("{}: {error}", INFO.name);
-            return usage_exit();
-        }
-    };
-    let (path, check) = match arguments {
-        ProgramArguments::Print(text) => {
-            println!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        ProgramArguments::Run { settings, check } => (settings, check),
-    };
-    let settings: EntrySettings = match settings::read(&path) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{:?}", Report::new(error));
-            return usage_exit();
-        }
-    };
-    if check {
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(report) => {
-            eprintln!("{report:?}");
-            ExitCode::FAILURE
-        }
-    }
+    program::run(&INFO, run)
 }
 
 #[tokio::main(flavor = "current_thread")]
--- a/crates/amaranth-entry/src/process.rs
+++ b/crates/amaranth-entry/src/process.rs
@@ -28,7 +28,6 @@
 use crate::claim_task::ClaimTask;
 use crate::config_tail;
 use crate::control_thread::{self, CONTROL_QUEUE, ControlParts};
-use crate::decision_log::DecisionLog;
 use crate::directory::DirectoryOwner;
 use crate::entry_state::{AdmissionGate, EntryState};
 use crate::http;
@@ -36,6 +35,7 @@
 use crate::readiness::EntryReadiness;
 use crate::retry_budget::SharedRetryBudget;
 use crate::settings::EntrySettings;
+use amaranth_telemetry::decision_log::DecisionLog;
 
 /// Time that answers get to leave after the last request ended.
 const CLOSING_TIME: Duration = Duration::from_secs(5);
--- a/crates/amaranth-standin/src/main.rs
+++ b/crates/amaranth-standin/src/main.rs
@@ -5,10 +5,10 @@
 use amaranth_standin::process::StandinProcess;
 use amaranth_standin::settings::{EXAMPLE, StandinSettings};
 use amaranth_telemetry::admin::{self, ReadyFlag};
-use amaranth_telemetry::arguments::{ProgramArguments, ProgramInfo};
+use amaranth_telemetry::arguments::ProgramInfo;
 use amaranth_telemetry::shutdown::ShutdownSignal;
-use amaranth_telemetry::{logs, metrics, settings, usage_exit};
-use miette::{IntoDiagnostic, Report};
+use amaranth_telemetry::{logs, metrics, program};
+use miette::IntoDiagnostic;
 
 const INFO: ProgramInfo = ProgramInfo {
     name: "amaranth-standin",
@@ -18,37 +18,7 @@
 };
 
 fn main() -> ExitCode {
-    let arguments = match ProgramArguments::parse(&INFO, std::env::args_os().skip(1)) {
-        Ok(arguments) => arguments,
-        Err(error) => return bad_usage(&Report::msg(error.to_string())),
-    };
-    let (path, check) = match arguments {
-        ProgramArguments::Print(text) => {
-            println!("{text}");
-            return ExitCode::SUCCESS;
-        }
-        ProgramArguments::Run { settings, check } => (settings, check),
-    };
-    let settings: StandinSettings = match settings::read(&path) {
-        Ok(settings) => settings,
-        Err(error) => return bad_usage(&Report::new(error)),
-    };
-    if check {
-        println!("{} is good", path.display());
-        return ExitCode::SUCCESS;
-    }
-    match run(settings) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:?}");
-            ExitCode::FAILURE
-        }
-    }
-}
-
-fn bad_usage(error: &Report) -> ExitCode {
-    eprintln!("{error:?}");
-    usage_exit()
+    program::run(&INFO, run)
 }
 
 #[tokio::main]
--- a/crates/amaranth-telemetry/src/lib.rs
+++ b/crates/amaranth-telemetry/src/lib.rs
@@ -6,8 +6,10 @@
 
 pub mod admin;
 pub mod arguments;
+pub mod decision_log;
 pub mod logs;
 pub mod metrics;
+pub mod program;
 pub mod settings;
 pub mod shutdown;
 pub mod spans;
--- /dev/null
+++ b/crates/amaranth-telemetry/src/program.rs
@@ -0,0 +1,51 @@
+//! The beginning that the long-running programs share: arguments, settings, then the work.
+
+use std::process::ExitCode;
+
+use miette::Report;
+
+use crate::arguments::{ProgramArguments, ProgramInfo};
+use crate::settings::{self, CheckedSettings};
+use crate::usage_exit;
+
+/// Reads the command line and the settings it names, and runs `work` on them.
+///
+/// Nothing starts before the settings are checked. The exit code is that of `--help`.
+pub fn run<Settings, Work>(info: &ProgramInfo, work: Work) -> ExitCode
+where
+    Settings: CheckedSettings,
+    Work: FnOnce(Settings) -> miette::Result<()>,
+{
+    let arguments = match ProgramArguments::parse(info, std::env::args_os().skip(1)) {
+        Ok(arguments) => arguments,
+        Err(error) => {
+            eprintln!("{}: {error}", info.name);
+            return usage_exit();
+        }
+    };
+    let (path, check) = match arguments {
+        ProgramArguments::Print(text) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        ProgramArguments::Run { settings, check } => (settings, check),
+    };
+    let settings: Settings = match settings::read(&path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{:?}", Report::new(error));
+            return usage_exit();
+        }
+    };
+    if check {
+        println!("{} is good", path.display());
+        return ExitCode::SUCCESS;
+    }
+    match work(settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
