Send spans to the collector from a runtime of their own

Cause: tried by hand with a collector in the settings, entry and agent lost every span: the SDK's exporting thread has no tokio runtime and the HTTP client panicked there. No test had met a collector. Ruled out: the reqwest clients, which the design's line of libraries leaves out. Change: the exporter's calls run on one thread of their own, so that closing never blocks the program's runtime.

--- a/crates/amaranth-telemetry/src/spans.rs
+++ b/crates/amaranth-telemetry/src/spans.rs
@@ -3,7 +3,7 @@
 //! With a collector in the settings, spans go to it over OTLP; otherwise each is one log line.
 
 use std::cell::Cell;
-use std::sync::OnceLock;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant, SystemTime};
 
 use amaranth_core::trace::TraceContext;
@@ -14,7 +14,12 @@
 use opentelemetry::{Context, KeyValue};
 use opentelemetry_otlp::{SpanExporter, WithExportConfig};
 use opentelemetry_sdk::Resource;
-use opentelemetry_sdk::trace::{IdGenerator, RandomIdGenerator, SdkTracer, SdkTracerProvider};
+use opentelemetry_sdk::error::{OTelSdkError, OTelSdkResult};
+use opentelemetry_sdk::trace::{
+    IdGenerator, RandomIdGenerator, SdkTracer, SdkTracerProvider, SpanData,
+    SpanExporter as SdkSpanExporter,
+};
+use tokio::runtime::{Builder, Handle, Runtime};
 
 /// Time that the last spans get to reach the collector when a program ends.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
@@ -46,9 +51,45 @@
 }
 
 /// Keeps the export of spans alive. [`SpanExport::close`] sends what is left.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct SpanExport {
     provider: Option<SdkTracerProvider>,
+    /// Where the exporter's HTTP client runs: the exporting thread of the SDK has no runtime.
+    runtime: Option<Runtime>,
+}
+
+impl Drop for SpanExport {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
+/// Sends spans from a runtime, whichever thread asks for it.
+#[derive(Debug)]
+struct RuntimeExporter {
+    exporter: Arc<SpanExporter>,
+    runtime: Handle,
+}
+
+impl SdkSpanExporter for RuntimeExporter {
+    async fn export(&self, batch: Vec<SpanData>) -> OTelSdkResult {
+        let exporter = Arc::clone(&self.exporter);
+        let sending = self
+            .runtime
+            .spawn(async move { exporter.export(batch).await });
+        sending
+            .await
+            .unwrap_or_else(|error| Err(OTelSdkError::InternalFailure(error.to_string())))
+    }
+
+    fn set_resource(&mut self, resource: &Resource) {
+        // The exporter is shared only while it exports, which begins after this call.
+        if let Some(exporter) = Arc::get_mut(&mut self.exporter) {
+            exporter.set_resource(resource);
+        }
+    }
 }
 
 /// The collector can't be used.
@@ -68,16 +109,27 @@
 /// Returns an error when the endpoint is malformed.
 pub fn open(program: &'static str, endpoint: Option<&str>) -> Result<SpanExport, CollectorError> {
     let Some(endpoint) = endpoint else {
-        return Ok(SpanExport { provider: None });
+        return Ok(SpanExport::default());
+    };
+    let refused = |reason: String| CollectorError {
+        endpoint: endpoint.to_owned(),
+        reason,
     };
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(1)
+        .thread_name("span-export")
+        .enable_all()
+        .build()
+        .map_err(|error| refused(error.to_string()))?;
     let exporter = SpanExporter::builder()
         .with_http()
         .with_endpoint(endpoint)
         .build()
-        .map_err(|error| CollectorError {
-            endpoint: endpoint.to_owned(),
-            reason: error.to_string(),
-        })?;
+        .map_err(|error| refused(error.to_string()))?;
+    let exporter = RuntimeExporter {
+        exporter: Arc::new(exporter),
+        runtime: runtime.handle().clone(),
+    };
     let provider = SdkTracerProvider::builder()
         .with_batch_exporter(exporter)
         .with_id_generator(PresetIds::default())
@@ -87,13 +139,14 @@
     let _ = TRACER.set(provider.tracer(program));
     Ok(SpanExport {
         provider: Some(provider),
+        runtime: Some(runtime),
     })
 }
 
 impl SpanExport {
     /// Sends the spans that are left.
-    pub fn close(self) {
-        let Some(provider) = self.provider else {
+    pub fn close(mut self) {
+        let Some(provider) = self.provider.take() else {
             return;
         };
         if let Err(error) = provider.shutdown_with_timeout(FLUSH_TIMEOUT) {
