--- a/crates/amaranth-lab/src/faults.rs
+++ b/crates/amaranth-lab/src/faults.rs
@@ -25,8 +25,11 @@
 /// Calls per second and engine.
 const RATE_PER_ENGINE: f64 = 2.0;
 
-/// Time that a cold store needs to load every adapter that callers ask for, in seconds.
-const COLD_SECONDS: f64 = 6.0;
+/// Adapters that an engine of a fault run holds: few, so that adapters are evicted under load.
+const ADAPTER_SLOTS: u16 = 2;
+
+/// One adapter in this many is called beyond those that all slots hold.
+const EXCESS_SHARE: u32 = 4;
 
 /// The exponent of the popularity law.
 const POPULARITY_EXPONENT: f64 = 1.0;
@@ -72,10 +75,14 @@
 ///
 /// Returns an error when the fleet can't be started or a process can't be started again.
 pub async fn run_faults(arguments: &FaultArguments) -> Result<FaultReport> {
-    let shape = DeploymentShape::of(arguments.deployment);
+    let shape = DeploymentShape {
+        adapter_slots: ADAPTER_SLOTS,
+        ..DeploymentShape::of(arguments.deployment)
+    };
     let schedule = FaultSchedule::draw(arguments.seed, arguments.duration, &arguments.only);
     let fleet = DemoFleet::spawn(shape).await?;
-    let adapters = (fleet.shape.store_rate.0 * COLD_SECONDS) as u32;
+    let slots = fleet.engines.len() as u32 * u32::from(ADAPTER_SLOTS);
+    let adapters = slots + slots / EXCESS_SHARE;
     let options = WorkloadOptions {
         seed: arguments.seed,
         rate: RATE_PER_ENGINE * fleet.engines.len() as f64,
--- a/crates/amaranth-lab/src/fleet/demo_fleet.rs
+++ b/crates/amaranth-lab/src/fleet/demo_fleet.rs
@@ -30,6 +30,9 @@
 /// Time within which a fleet must be ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
 
+/// Ports that are tried for one agent.
+const PORT_TRIES: u32 = 5;
+
 /// An entry of a fleet.
 pub type EntryMember = FleetMember<EntrySettings, EntryProcess>;
 
@@ -207,16 +210,28 @@
             })
             .collect();
         for (index, (id, address, kind)) in engines.into_iter().enumerate() {
-            self.spawn_agent(index, EndpointSettings { id, address, kind })
+            self.place_agent(index, EndpointSettings { id, address, kind })
                 .await?;
         }
         for (index, (id, address, kind)) in services.into_iter().enumerate() {
-            self.spawn_agent(index, EndpointSettings { id, address, kind })
+            self.place_agent(index, EndpointSettings { id, address, kind })
                 .await?;
         }
         Ok(())
     }
 
+    /// Starts an agent on a port that was free a moment before. Another connection may have taken
+    /// it since; then another port is tried.
+    async fn place_agent(&mut self, index: usize, endpoint: EndpointSettings) -> Result<()> {
+        let mut tries = 1;
+        loop {
+            match self.spawn_agent(index, endpoint.clone()).await {
+                Err(_) if tries < PORT_TRIES => tries += 1,
+                ended => return ended,
+            }
+        }
+    }
+
     async fn spawn_agent(&mut self, index: usize, endpoint: EndpointSettings) -> Result<()> {
         let DataCentreShape { name, region } = self.shape.data_centre_of(index).clone();
         let peer_address = free_port().map_err(start_failed)?;
