Parse the callers' event streams with the ports' decoder

Cause: the read-through found two decoders of server-sent events, the lab's splitter and amaranth_ports::sse, written at the same time for the same job. The tests of ports and lab pass, clippy is clean. Left: the stand-ins' five implementations of ControlledState are alike; a shared form would be as long as what it replaces.

--- a/crates/amaranth-lab/src/caller.rs
+++ b/crates/amaranth-lab/src/caller.rs
@@ -2,5 +2,4 @@
 
 pub mod client;
 pub mod completion;
-pub mod event_stream;
 pub mod service_call;
--- a/crates/amaranth-lab/src/caller/completion.rs
+++ b/crates/amaranth-lab/src/caller/completion.rs
@@ -6,18 +6,15 @@
 use amaranth_core::ids::ConfigRevision;
 use amaranth_core::request::CompletionApi;
 use amaranth_ports::http_client::drain;
+use amaranth_ports::sse::{DONE, SseDecoder};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use serde::Deserialize;
 use serde_json::json;
 
 use crate::caller::client::{CallResponse, CallerClient, parse_run, refusal};
-use crate::caller::event_stream::EventSplitter;
 use crate::checker::evidence::CallResult;
 
-/// The event that ends a stream.
-const DONE: &[u8] = b"[DONE]";
-
 /// A completion as a caller asks for it.
 #[derive(Debug, Clone)]
 pub struct CompletionCall {
@@ -185,15 +182,15 @@
 /// Reads events until the closing one. A stream that ends before it is broken.
 async fn read_stream(mut response: CallResponse, started: Instant) -> CompletionOutcome {
     let revision = response.revision();
-    let mut splitter = EventSplitter::open();
+    let mut decoder = SseDecoder::open();
     let mut answer = PartialAnswer::default();
     while let Some(frame) = response.body.frame().await {
         let frame = match frame {
             Ok(frame) => frame,
             Err(error) => return broken(&format!("{error:?}"), started, revision),
         };
-        splitter.push(frame.data_ref().map_or(&[], |data| data.as_ref()));
-        while let Some(data) = splitter.next_data() {
+        let bytes: &[u8] = frame.data_ref().map_or(&[], |data| data.as_ref());
+        for data in decoder.push(bytes) {
             if let Some(result) = answer.take(&data, started) {
                 // The rest is read to its end, so that the connection serves the next call.
                 drain(response.body);
--- a/crates/amaranth-lab/tests/event_stream.rs
+++ b/crates/amaranth-ports/tests/event_stream.rs
@@ -1,15 +1,14 @@
 //! Events come out whole however the bytes were cut.
 
-use amaranth_lab::caller::event_stream::EventSplitter;
+use amaranth_ports::sse::SseDecoder;
 use proptest::prelude::{ProptestConfig, prop_assert_eq, proptest};
 use proptest::test_runner::RngSeed;
 
 fn split(bytes: &[u8], size: usize) -> Vec<String> {
-    let mut splitter = EventSplitter::open();
+    let mut decoder = SseDecoder::open();
     let mut events = Vec::new();
     for piece in bytes.chunks(size) {
-        splitter.push(piece);
-        while let Some(data) = splitter.next_data() {
+        for data in decoder.push(piece) {
             events.push(String::from_utf8(data.to_vec()).unwrap());
         }
     }
