Serve the users' platform: entries pass calls on, agents give orders

Cause: nothing of the product spoke the platform's formats.

The way of sharing work taken first: entries send to engines, agents own the orders of their engine and tell entries what it holds.

--- /dev/null
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -0,0 +1,497 @@
+//! The endpoints that an entry knows, from the registry and from its own experience.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use amaranth_core::ids::{AdapterName, EndpointId, ModelName, ServiceName};
+use amaranth_core::time::Timestamp;
+use strum::Display;
+
+use crate::engine_estimate::EngineEstimate;
+use crate::engine_view::{AdapterUse, EngineContents, EngineView, HeldAdapter, UsageReport};
+
+/// An endpoint as the registry lists it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointRecord {
+    /// The endpoint. An endpoint that starts again mostly has another id.
+    pub id: EndpointId,
+    /// The service that it belongs to.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to leave and takes no new calls.
+    pub leaving: bool,
+    /// When it started, in milliseconds of its own wall clock, if it says so.
+    pub started_ms: Option<u64>,
+    /// The number of its announcement.
+    pub sequence: u64,
+    /// What it holds, if it is an engine.
+    pub contents: EngineContents,
+}
+
+/// A change of the registry.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RegistryEvent {
+    /// An endpoint announced itself.
+    Announced(Box<EndpointRecord>),
+    /// An endpoint is no longer listed.
+    Removed(EndpointId),
+}
+
+/// What became of an endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum BookChange {
+    /// It is new.
+    Joined,
+    /// It started again under the same id.
+    Restarted,
+    /// It began to leave.
+    Leaving,
+    /// It is gone.
+    Gone,
+    /// Its removal waits: many were removed at once, as after an outage of the registry.
+    RemovalHeld,
+    /// Nothing that matters changed.
+    Unchanged,
+}
+
+/// Failures in a row after which an endpoint is passed over.
+const FAILURES_TO_SHUN: u32 = 2;
+
+/// How long an endpoint is passed over after its first failures; doubled each time.
+const SHORTEST_SHUN: Duration = Duration::from_millis(500);
+
+/// How long an endpoint is passed over at most.
+const LONGEST_SHUN: Duration = Duration::from_secs(4);
+
+/// How long a removal waits when many endpoints are removed at once. The platform gives entries
+/// that expired during an outage two seconds to return; the bound on sending to endpoints that
+/// left is not much longer.
+const MASS_REMOVAL_HOLD: Duration = Duration::from_millis(1_200);
+
+/// Weight of the newest outcome in an endpoint's failure rate.
+const FAILURE_WEIGHT: f64 = 0.15;
+
+/// An endpoint and what the entry knows of it.
+#[derive(Debug, Clone)]
+pub struct EndpointState {
+    /// Its newest announcement.
+    pub record: EndpointRecord,
+    /// What its agent said last, and when.
+    pub view: Option<(Timestamp, EngineView)>,
+    /// How its engine performs.
+    pub estimate: EngineEstimate,
+    uses: Vec<AdapterUse>,
+    wishes: Vec<HeldAdapter>,
+    calls: u32,
+    failures_in_a_row: u32,
+    failure_rate: f64,
+    shunned_until: Timestamp,
+    shun: Duration,
+    removal_at: Option<Timestamp>,
+}
+
+impl EndpointState {
+    fn open(record: EndpointRecord) -> Self {
+        Self {
+            record,
+            view: None,
+            estimate: EngineEstimate::default(),
+            uses: Vec::new(),
+            wishes: Vec::new(),
+            calls: 0,
+            failures_in_a_row: 0,
+            failure_rate: 0.0,
+            shunned_until: Timestamp::ZERO,
+            shun: SHORTEST_SHUN,
+            removal_at: None,
+        }
+    }
+
+    /// Returns the newest knowledge of what the engine holds.
+    pub fn contents(&self) -> &EngineContents {
+        match &self.view {
+            Some((_, view)) => &view.contents,
+            None => &self.record.contents,
+        }
+    }
+
+    /// Returns the entry's own calls in flight.
+    pub const fn calls(&self) -> u32 {
+        self.calls
+    }
+
+    /// Returns the share of recent calls that failed, from 0 to 1.
+    pub const fn failure_rate(&self) -> f64 {
+        self.failure_rate
+    }
+
+    /// Returns whether the endpoint takes new calls.
+    pub const fn is_open(&self) -> bool {
+        !self.record.leaving
+    }
+
+    /// Returns whether the endpoint is passed over for its recent failures.
+    pub fn is_shunned(&self, now: Timestamp) -> bool {
+        now < self.shunned_until
+    }
+
+    /// Returns the adapters that the entry's own calls use.
+    pub fn own_uses(&self) -> &[AdapterUse] {
+        &self.uses
+    }
+
+    /// Returns the loads that this entry asked the agent for and that are not settled.
+    pub fn wishes(&self) -> &[HeldAdapter] {
+        &self.wishes
+    }
+
+    /// Notes that the engine holds an adapter, before the agent's next view says so.
+    pub fn note_held(&mut self, held: HeldAdapter) {
+        let contents = match &mut self.view {
+            Some((_, view)) => &mut view.contents,
+            None => &mut self.record.contents,
+        };
+        contents
+            .adapters
+            .retain(|known| !known.is_for(&held.model, &held.name));
+        contents.adapters.push(held);
+    }
+
+    /// Notes that the engine lacks an adapter that it was believed to hold.
+    pub fn note_missing(&mut self, model: &ModelName, adapter: &AdapterName) {
+        let contents = match &mut self.view {
+            Some((_, view)) => &mut view.contents,
+            None => &mut self.record.contents,
+        };
+        contents
+            .adapters
+            .retain(|known| !known.is_for(model, adapter));
+    }
+
+    /// Returns whether any entry is known to use an adapter here.
+    pub fn is_used(&self, model: &ModelName, adapter: &AdapterName) -> bool {
+        let own = self
+            .uses
+            .iter()
+            .any(|used| used.name == *adapter && used.model == *model);
+        own || self.view.as_ref().is_some_and(|(_, view)| {
+            view.in_use
+                .iter()
+                .any(|(m, name)| name == adapter && m == model)
+        })
+    }
+
+    fn note_failure(&mut self, now: Timestamp) {
+        self.failures_in_a_row += 1;
+        self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate);
+        if self.failures_in_a_row >= FAILURES_TO_SHUN {
+            self.shunned_until = now + self.shun;
+            self.shun = (self.shun * 2).min(LONGEST_SHUN);
+            self.failures_in_a_row = 0;
+        }
+    }
+
+    fn note_success(&mut self) {
+        self.failures_in_a_row = 0;
+        self.shun = SHORTEST_SHUN;
+        self.failure_rate -= FAILURE_WEIGHT * self.failure_rate;
+    }
+}
+
+/// How a call at an endpoint ended, as far as the endpoint's health goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointOutcome {
+    /// It answered well.
+    Succeeded,
+    /// It failed, broke off or could not be reached.
+    Failed,
+    /// The end says nothing of its health.
+    Inconclusive,
+}
+
+/// All endpoints that the entry knows.
+#[derive(Debug, Default)]
+pub struct EndpointBook {
+    endpoints: BTreeMap<EndpointId, EndpointState>,
+    departed: HashMap<EndpointId, (Option<u64>, u64)>,
+}
+
+/// Endpoints that left whose last announcement is remembered.
+const DEPARTED_KEPT: usize = 512;
+
+impl EndpointBook {
+    /// Returns an endpoint.
+    pub fn get(&self, id: &EndpointId) -> Option<&EndpointState> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns an endpoint to change what is known of it.
+    pub fn get_mut(&mut self, id: &EndpointId) -> Option<&mut EndpointState> {
+        self.endpoints.get_mut(id)
+    }
+
+    /// Iterates over the endpoints of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a ServiceName,
+    ) -> impl Iterator<Item = &'a EndpointState> {
+        self.endpoints
+            .values()
+            .filter(move |state| state.record.service == *service)
+    }
+
+    /// Iterates over all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &EndpointState> {
+        self.endpoints.values()
+    }
+
+    /// Returns how many endpoints are known.
+    pub fn len(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Returns whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.endpoints.is_empty()
+    }
+
+    /// Takes a change of the registry.
+    pub fn apply(&mut self, event: RegistryEvent) -> BookChange {
+        match event {
+            RegistryEvent::Announced(record) => self.announce(*record),
+            RegistryEvent::Removed(id) => self.remove(&id),
+        }
+    }
+
+    /// Replaces everything by a whole list of the registry, and returns what changed.
+    ///
+    /// If more than a third of the endpoints are missing from the list at once, their removal
+    /// waits until [`EndpointBook::expire`] finds it due.
+    pub fn replace(
+        &mut self,
+        now: Timestamp,
+        records: Vec<EndpointRecord>,
+    ) -> Vec<(EndpointId, BookChange)> {
+        let missing: Vec<EndpointId> = self
+            .endpoints
+            .keys()
+            .filter(|id| !records.iter().any(|record| record.id == **id))
+            .cloned()
+            .collect();
+        let held = missing.len() * 3 > self.endpoints.len();
+        let mut changes = Vec::new();
+        for id in missing {
+            let change = if held {
+                self.hold(now, &id)
+            } else {
+                self.remove(&id)
+            };
+            changes.push((id, change));
+        }
+        for record in records {
+            let id = record.id.clone();
+            let change = self.announce(record);
+            if change != BookChange::Unchanged {
+                changes.push((id, change));
+            }
+        }
+        changes
+    }
+
+    /// Takes removals that came in one read of the registry.
+    pub fn remove_together(
+        &mut self,
+        now: Timestamp,
+        ids: &[EndpointId],
+    ) -> Vec<(EndpointId, BookChange)> {
+        let known: Vec<&EndpointId> = ids
+            .iter()
+            .filter(|id| self.endpoints.contains_key(*id))
+            .collect();
+        let held = known.len() * 3 > self.endpoints.len();
+        let known: Vec<EndpointId> = known.into_iter().cloned().collect();
+        known
+            .into_iter()
+            .map(|id| {
+                let change = if held {
+                    self.hold(now, &id)
+                } else {
+                    self.remove(&id)
+                };
+                (id, change)
+            })
+            .collect()
+    }
+
+    /// Removes the endpoints whose held removal is due.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<EndpointId> {
+        let due: Vec<EndpointId> = self
+            .endpoints
+            .iter()
+            .filter(|(_, state)| state.removal_at.is_some_and(|at| at <= now))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &due {
+            self.remove(id);
+        }
+        due
+    }
+
+    fn hold(&mut self, now: Timestamp, id: &EndpointId) -> BookChange {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.removal_at.get_or_insert(now + MASS_REMOVAL_HOLD);
+        }
+        BookChange::RemovalHeld
+    }
+
+    fn remove(&mut self, id: &EndpointId) -> BookChange {
+        let Some(state) = self.endpoints.remove(id) else {
+            return BookChange::Unchanged;
+        };
+        if self.departed.len() >= DEPARTED_KEPT {
+            self.departed.clear();
+        }
+        let mark = (state.record.started_ms, state.record.sequence);
+        self.departed.insert(id.clone(), mark);
+        BookChange::Gone
+    }
+
+    /// Takes an announcement. One that is older than the known one of the same start is ignored.
+    fn announce(&mut self, record: EndpointRecord) -> BookChange {
+        if let Some((started, sequence)) = self.departed.get(&record.id)
+            && *started == record.started_ms
+            && record.sequence < *sequence
+        {
+            return BookChange::Unchanged;
+        }
+        let Some(state) = self.endpoints.get_mut(&record.id) else {
+            let id = record.id.clone();
+            self.departed.remove(&id);
+            let leaving = record.leaving;
+            self.endpoints.insert(id, EndpointState::open(record));
+            return if leaving {
+                BookChange::Leaving
+            } else {
+                BookChange::Joined
+            };
+        };
+        if record.started_ms == state.record.started_ms && record.sequence < state.record.sequence {
+            return BookChange::Unchanged;
+        }
+        if record.started_ms < state.record.started_ms {
+            return BookChange::Unchanged;
+        }
+        state.removal_at = None;
+        if record.started_ms != state.record.started_ms {
+            *state = EndpointState::open(record);
+            return BookChange::Restarted;
+        }
+        let began_to_leave = record.leaving && !state.record.leaving;
+        // An endpoint that has begun to leave does not come back in the same start.
+        let leaving = record.leaving || state.record.leaving;
+        state.record = EndpointRecord { leaving, ..record };
+        if began_to_leave {
+            BookChange::Leaving
+        } else {
+            BookChange::Unchanged
+        }
+    }
+
+    /// Takes what an agent said of its engine.
+    pub fn take_view(&mut self, now: Timestamp, id: &EndpointId, view: EngineView) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.view = Some((now, view));
+        }
+    }
+
+    /// Forgets what an agent said, so that the registry's list is believed again.
+    pub fn forget_view(&mut self, id: &EndpointId) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.view = None;
+        }
+    }
+
+    /// Notes that the agent of an endpoint is asked for an adapter.
+    pub fn begin_wish(&mut self, id: &EndpointId, wished: HeldAdapter) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.wishes.push(wished);
+        }
+    }
+
+    /// Notes that the agent of an endpoint answered.
+    pub fn end_wish(&mut self, id: &EndpointId, wished: &HeldAdapter) {
+        if let Some(state) = self.endpoints.get_mut(id)
+            && let Some(position) = state.wishes.iter().position(|known| known == wished)
+        {
+            state.wishes.swap_remove(position);
+        }
+    }
+
+    /// Notes that a call is about to be sent to an endpoint.
+    pub fn begin_call(&mut self, id: &EndpointId, used: Option<(&ModelName, &AdapterName)>) {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        state.calls += 1;
+        let Some((model, adapter)) = used else {
+            return;
+        };
+        let known = state
+            .uses
+            .iter_mut()
+            .find(|known| known.name == *adapter && known.model == *model);
+        match known {
+            Some(known) => known.calls += 1,
+            None => state.uses.push(AdapterUse {
+                model: model.clone(),
+                name: adapter.clone(),
+                calls: 1,
+            }),
+        }
+    }
+
+    /// Notes that a call at an endpoint ended.
+    pub fn end_call(
+        &mut self,
+        now: Timestamp,
+        id: &EndpointId,
+        used: Option<(&ModelName, &AdapterName)>,
+        outcome: EndpointOutcome,
+    ) {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return;
+        };
+        state.calls = state.calls.saturating_sub(1);
+        if let Some((model, adapter)) = used {
+            for known in &mut state.uses {
+                if known.name == *adapter && known.model == *model {
+                    known.calls = known.calls.saturating_sub(1);
+                }
+            }
+            state.uses.retain(|known| known.calls > 0);
+        }
+        match outcome {
+            EndpointOutcome::Succeeded => state.note_success(),
+            EndpointOutcome::Failed => state.note_failure(now),
+            EndpointOutcome::Inconclusive => {}
+        }
+    }
+
+    /// Returns what the entry tells the agent of an endpoint.
+    pub fn usage(&self, entry: &str, id: &EndpointId) -> UsageReport {
+        let state = self.endpoints.get(id);
+        UsageReport {
+            entry: entry.to_owned(),
+            endpoint: id.clone(),
+            uses: state.map(|state| state.uses.clone()).unwrap_or_default(),
+            calls: state.map_or(0, |state| state.calls),
+        }
+    }
+}
--- /dev/null
+++ b/crates/amaranth-relay/src/caller_server.rs
@@ -0,0 +1,236 @@
+//! The addresses at which callers and the balancer connect.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use http::{Request, Response, StatusCode};
+use hyper::body::Incoming;
+use hyper::server::conn::http1::Builder;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+use crate::answer_body::{self, AnswerBody};
+use crate::call_task;
+use crate::entry::EntryCore;
+use crate::readiness::EntryStage;
+
+/// Connections of callers that are served at once. Descriptors are left for endpoints and agents.
+const MAX_CALLER_CONNECTIONS: usize = 2_500;
+
+/// Time that a connection may stay idle before a configuration says so.
+const DEFAULT_IDLE: Duration = Duration::from_secs(15);
+
+/// Bytes of a head that are read before a configuration says so.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+
+/// Least buffer of a connection that the HTTP library accepts, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Headers of one call at most.
+const MAX_HEADERS: usize = 100;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
+/// The servers of an entry. Dropping the handle stops listening.
+#[derive(Debug)]
+pub struct CallerServer {
+    address: SocketAddr,
+    readiness: SocketAddr,
+    accepting: JoinHandle<()>,
+    answering: JoinHandle<()>,
+    stop: watch::Sender<bool>,
+    open: Arc<AtomicUsize>,
+}
+
+impl CallerServer {
+    /// Binds the addresses for callers and for readiness.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when an address can't be bound.
+    pub fn bind(core: &Arc<EntryCore>) -> io::Result<Self> {
+        let callers = listen(core.options.callers)?;
+        let readiness = listen(core.options.readiness)?;
+        let (stop, stopping) = watch::channel(false);
+        let open = Arc::new(AtomicUsize::new(0));
+        let address = callers.local_addr()?;
+        let readiness_address = readiness.local_addr()?;
+        Ok(Self {
+            address,
+            readiness: readiness_address,
+            accepting: tokio::spawn(accept_callers(
+                callers,
+                Arc::clone(core),
+                stopping,
+                Arc::clone(&open),
+            )),
+            answering: tokio::spawn(answer_readiness(readiness, Arc::clone(core))),
+            stop,
+            open,
+        })
+    }
+
+    /// Returns the address for callers.
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns the address for readiness checks.
+    pub const fn readiness(&self) -> SocketAddr {
+        self.readiness
+    }
+
+    /// Returns how many connections of callers are open.
+    pub fn open_connections(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// Stops listening for callers and closes each connection after the answer it waits for.
+    pub fn close(&self) {
+        self.accepting.abort();
+        self.stop.send_replace(true);
+    }
+}
+
+impl Drop for CallerServer {
+    fn drop(&mut self) {
+        self.accepting.abort();
+        self.answering.abort();
+    }
+}
+
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Counts an open connection.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+async fn accept_callers(
+    listener: TcpListener,
+    core: Arc<EntryCore>,
+    stopping: watch::Receiver<bool>,
+    open: Arc<AtomicUsize>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=accept_failed error={error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        if open.fetch_add(1, Ordering::Relaxed) >= MAX_CALLER_CONNECTIONS {
+            open.fetch_sub(1, Ordering::Relaxed);
+            log::warn!("event=caller_refused reason=connections");
+            continue;
+        }
+        let connection = OpenConnection(Arc::clone(&open));
+        let core = Arc::clone(&core);
+        let stopping = stopping.clone();
+        tokio::spawn(async move {
+            serve_caller(stream, core, stopping).await;
+            drop(connection);
+        });
+    }
+}
+
+async fn serve_caller(
+    stream: TcpStream,
+    core: Arc<EntryCore>,
+    mut stopping: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("event=caller_gone error={error}");
+        return;
+    }
+    let limits = core.table().map(|table| table.limits());
+    let idle = limits.map_or(DEFAULT_IDLE, |limits| limits.idle_timeout);
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes);
+    let service = service_fn(move |request: Request<Incoming>| {
+        let core = Arc::clone(&core);
+        async move { Ok::<_, Infallible>(call_task::answer(core, request).await) }
+    });
+    let connection = Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(idle)
+        .max_headers(MAX_HEADERS)
+        .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
+        .preserve_header_case(true)
+        .auto_date_header(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = stop_requested(&mut stopping) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("event=caller_connection_ended error={error}");
+    }
+}
+
+/// Returns when the server is asked to stop, or is gone.
+async fn stop_requested(stopping: &mut watch::Receiver<bool>) {
+    let _ = stopping.wait_for(|stop| *stop).await.map(drop);
+}
+
+async fn answer_readiness(listener: TcpListener, core: Arc<EntryCore>) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("event=accept_failed error={error}");
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        };
+        let core = Arc::clone(&core);
+        tokio::spawn(async move {
+            let service = service_fn(move |request: Request<Incoming>| {
+                let answer = readiness_answer(&core, &request);
+                async move { Ok::<_, Infallible>(answer) }
+            });
+            let connection = Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(DEFAULT_IDLE)
+                .serve_connection(TokioIo::new(stream), service);
+            if let Err(error) = connection.await {
+                log::debug!("event=readiness_connection_ended error={error}");
+            }
+        });
+    }
+}
+
+fn readiness_answer(core: &EntryCore, request: &Request<Incoming>) -> Response<AnswerBody> {
+    let mut response = Response::new(answer_body::empty());
+    let known = core
+        .dialect
+        .is_readiness_check(request.method(), request.uri().path());
+    *response.status_mut() = match (known, core.stage.get()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, EntryStage::Ready) => StatusCode::OK,
+        (true, _) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    response
+}
--- /dev/null
+++ b/crates/amaranth-relay/src/entry.rs
@@ -0,0 +1,558 @@
+//! An entry: what it knows, and the tasks that keep it up to date.
+
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use amaranth_control::retry_budget::RetryBudget;
+use amaranth_core::ids::{AdapterName, EndpointId, ModelName};
+use amaranth_core::time::{MonotonicClock, Timestamp};
+use amaranth_dispatch::attempts::open_retry_share;
+use amaranth_dispatch::endpoint_book::{
+    BookChange, EndpointBook, EndpointRecord, EndpointState, RegistryEvent,
+};
+use amaranth_dispatch::engine_placer::Locality;
+use amaranth_dispatch::engine_view::{LoadOutcome, LoadWish};
+use amaranth_dispatch::routes::{ConfigKeeper, ConfigStep, EngineRule, RouteTable, RoutingConfig};
+use amaranth_dispatch::version_book::VersionBook;
+use tokio::sync::Notify;
+use tokio::task::JoinHandle;
+use tokio::time::{interval, sleep};
+
+use crate::agent_link::AgentLinks;
+use crate::dialect::CallDialect;
+use crate::endpoint_pool::EndpointPool;
+use crate::feed::{self, FeedEvent, FeedOptions, FeedSource};
+use crate::load_waits::{LoadKey, LoadWaits};
+use crate::readiness::{EntryStage, StageCell};
+
+/// Time for which a read of the configuration waits for a change.
+const CONFIG_WAIT: Duration = Duration::from_millis(3_000);
+
+/// Least time between two reads of the configuration.
+const CONFIG_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Time between two reads of the registry. Leaving endpoints have to be known well within the
+/// platform's bound on sending to them.
+const REGISTRY_INTERVAL: Duration = Duration::from_millis(1_000);
+
+/// Time for which an agent waits for a change before it answers an exchange.
+const EXCHANGE_WAIT: Duration = Duration::from_millis(400);
+
+/// The same while loads wait for a place at the engine.
+const PRESSED_EXCHANGE_WAIT: Duration = Duration::from_millis(60);
+
+/// Least time between two exchanges with an agent.
+const EXCHANGE_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Pause after an agent gave no answer.
+const AGENT_PAUSE: Duration = Duration::from_millis(700);
+
+/// Time between two rounds of housekeeping.
+const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
+
+/// How long an empty engine's agent may take to load a model.
+const MODEL_PATIENCE: Duration = Duration::from_secs(12);
+
+/// What an entry is told at its start.
+#[derive(Debug, Clone)]
+pub struct EntryOptions {
+    /// The name of the process.
+    pub name: String,
+    /// Where it stands.
+    pub locality: Locality,
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where the balancer asks for readiness.
+    pub readiness: SocketAddr,
+    /// The port of the agents beside engines.
+    pub agent_port: u16,
+    /// Retries of the whole fleet for each call.
+    pub retry_ratio: f64,
+    /// Retries of the whole fleet beyond those, in a window.
+    pub retry_slack: u32,
+    /// Entries of the fleet, at most.
+    pub entries: u32,
+    /// How long the process may take to stop.
+    pub stop_grace: Duration,
+}
+
+/// A record of the operator.
+#[derive(Debug, Clone, PartialEq)]
+pub enum ConfigRecord {
+    /// A whole configuration.
+    Config(Box<RoutingConfig>),
+    /// The newest version of an adapter.
+    AdapterVersion {
+        /// The model.
+        model: ModelName,
+        /// The adapter.
+        adapter: AdapterName,
+        /// Its version.
+        version: u64,
+    },
+}
+
+/// What decisions of an entry are made from.
+#[derive(Debug)]
+pub struct EntryState {
+    /// The configuration in force.
+    pub config: ConfigKeeper,
+    /// The adapters' versions.
+    pub versions: VersionBook,
+    /// The endpoints.
+    pub book: EndpointBook,
+    /// The entry's part of the retry budget.
+    pub budget: RetryBudget,
+    registry_known: bool,
+}
+
+/// What the tasks of an entry share.
+pub struct EntryCore {
+    /// What the entry was told at its start.
+    pub options: EntryOptions,
+    /// How the platform spells calls.
+    pub dialect: Box<dyn CallDialect>,
+    /// The connections to endpoints.
+    pub pool: EndpointPool,
+    /// The connections to agents.
+    pub agents: AgentLinks,
+    /// The loads that calls wait for.
+    pub loads: LoadWaits,
+    /// The stage of the process.
+    pub stage: StageCell,
+    clock: MonotonicClock,
+    state: Mutex<EntryState>,
+    changed: Notify,
+}
+
+impl std::fmt::Debug for EntryCore {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("EntryCore")
+            .field("options", &self.options)
+            .finish_non_exhaustive()
+    }
+}
+
+impl EntryCore {
+    /// Creates what an entry knows at its start: nothing.
+    pub fn open(options: EntryOptions, dialect: impl CallDialect) -> Arc<Self> {
+        let budget = open_retry_share(options.retry_ratio, options.retry_slack, options.entries);
+        Arc::new(Self {
+            options,
+            dialect: Box::new(dialect),
+            pool: EndpointPool::default(),
+            agents: AgentLinks::default(),
+            loads: LoadWaits::default(),
+            stage: StageCell::default(),
+            clock: MonotonicClock::start(),
+            state: Mutex::new(EntryState {
+                config: ConfigKeeper::default(),
+                versions: VersionBook::default(),
+                book: EndpointBook::default(),
+                budget,
+                registry_known: false,
+            }),
+            changed: Notify::new(),
+        })
+    }
+
+    /// Returns the time on the process's steady clock.
+    pub fn now(&self) -> Timestamp {
+        self.clock.now()
+    }
+
+    /// Locks what decisions are made from.
+    pub fn state(&self) -> MutexGuard<'_, EntryState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force, if one is known.
+    pub fn table(&self) -> Option<Arc<RouteTable>> {
+        self.state().config.current().cloned()
+    }
+
+    /// Waits until what is known of engines changes.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Takes records of the operator.
+    pub fn take_config(&self, event: FeedEvent<ConfigRecord>) {
+        let (FeedEvent::Whole(records) | FeedEvent::Changes(records)) = event;
+        let mut state = self.state();
+        for record in records {
+            match record {
+                ConfigRecord::Config(config) => {
+                    let (version, routes) = (config.version, config.routes.len());
+                    let step = state.config.offer(*config);
+                    if step != ConfigStep::Known {
+                        log::info!("event=config version={version} routes={routes} step={step}");
+                    }
+                }
+                ConfigRecord::AdapterVersion {
+                    model,
+                    adapter,
+                    version,
+                } => {
+                    if state
+                        .versions
+                        .offer(model.clone(), adapter.clone(), version)
+                    {
+                        log::info!(
+                            "event=adapter_version model={model} adapter={adapter} version={version}"
+                        );
+                    }
+                }
+            }
+        }
+        drop(state);
+        self.update_stage();
+    }
+
+    /// Takes changes of the registry.
+    pub fn take_registry(&self, event: FeedEvent<RegistryEvent>) {
+        let now = self.now();
+        let mut state = self.state();
+        let changes = match event {
+            FeedEvent::Whole(events) => {
+                state.registry_known = true;
+                state.book.replace(now, announced(events))
+            }
+            FeedEvent::Changes(events) => apply_changes(&mut state.book, now, events),
+        };
+        drop(state);
+        for (id, change) in changes {
+            if change != BookChange::Unchanged {
+                log::info!("event=endpoint endpoint={id} change={change}");
+            }
+        }
+        self.changed.notify_waiters();
+        self.update_stage();
+    }
+
+    fn update_stage(&self) {
+        let state = self.state();
+        let stage = match (state.config.current().is_some(), state.registry_known) {
+            (false, _) => EntryStage::Starting,
+            (true, false) => EntryStage::Configured,
+            (true, true) if state.book.is_empty() => EntryStage::Configured,
+            (true, true) => EntryStage::Ready,
+        };
+        drop(state);
+        if self.stage.advance(stage) {
+            log::info!(
+                "event=stage stage={stage} at_ms={}",
+                self.now().as_micros() / 1_000
+            );
+        }
+    }
+
+    /// Asks the agent of an engine that it hold something, and waits for it. Calls that need the
+    /// same share one wish.
+    pub async fn load(
+        self: &Arc<Self>,
+        key: LoadKey,
+        address: SocketAddr,
+        engine: &EngineRule,
+        patience: Duration,
+    ) -> LoadOutcome {
+        let wish = load_wish(&key, engine, patience);
+        let core = Arc::clone(self);
+        self.loads
+            .wait(key.clone(), || async move {
+                core.ask_agent(key, address, wish).await
+            })
+            .await
+    }
+
+    async fn ask_agent(&self, key: LoadKey, address: SocketAddr, wish: LoadWish) -> LoadOutcome {
+        let wished = wished_adapter(&key);
+        if let Some(wished) = &wished {
+            self.state().book.begin_wish(&key.endpoint, wished.clone());
+        }
+        let usage = self.state().book.usage(&self.options.name, &key.endpoint);
+        let agent = SocketAddr::new(address.ip(), self.options.agent_port);
+        let started = self.now();
+        let answer = self.agents.prepare(agent, usage, wish).await;
+        let took = self.now().since(started);
+        if let Some(wished) = &wished {
+            self.state().book.end_wish(&key.endpoint, wished);
+        }
+        metrics::histogram!("amaranth_load_wait_seconds").record(took.as_secs_f64());
+        let outcome = answer.unwrap_or_else(|error| {
+            log::warn!("event=agent_silent endpoint={} error={error}", key.endpoint);
+            self.state().book.forget_view(&key.endpoint);
+            LoadOutcome::Unavailable
+        });
+        log::info!(
+            "event=load endpoint={} adapter={} version={} outcome={outcome} took_ms={}",
+            key.endpoint,
+            key.adapter.as_ref().map_or("-", |adapter| adapter.as_str()),
+            key.version.unwrap_or(0),
+            took.as_millis()
+        );
+        if outcome == LoadOutcome::Held
+            && let Some(wished) = wished
+            && let Some(state) = self.state().book.get_mut(&key.endpoint)
+        {
+            state.note_held(wished);
+        }
+        self.changed.notify_waiters();
+        outcome
+    }
+}
+
+fn wished_adapter(key: &LoadKey) -> Option<amaranth_dispatch::engine_view::HeldAdapter> {
+    Some(amaranth_dispatch::engine_view::HeldAdapter {
+        model: key.model.clone(),
+        name: key.adapter.clone()?,
+        version: key.version.unwrap_or(0),
+    })
+}
+
+fn load_wish(key: &LoadKey, engine: &EngineRule, patience: Duration) -> LoadWish {
+    let model = engine.models.iter().find(|model| model.name == key.model);
+    let needed = model.map_or(f64::INFINITY, |model| {
+        model.weights_mb + model.adapter_mb * f64::from(engine.adapter_places)
+    });
+    LoadWish {
+        endpoint: key.endpoint.clone(),
+        model: key.model.clone(),
+        adapter: key.adapter.clone(),
+        version: key.version,
+        adapter_places: engine.adapter_places,
+        fits_memory: needed <= engine.memory_mb,
+        patience,
+    }
+}
+
+fn announced(events: Vec<RegistryEvent>) -> Vec<EndpointRecord> {
+    events
+        .into_iter()
+        .filter_map(|event| match event {
+            RegistryEvent::Announced(record) => Some(*record),
+            RegistryEvent::Removed(_) => None,
+        })
+        .collect()
+}
+
+/// Applies the changes of one read, with what was removed and not announced again taken together.
+fn apply_changes(
+    book: &mut EndpointBook,
+    now: Timestamp,
+    events: Vec<RegistryEvent>,
+) -> Vec<(EndpointId, BookChange)> {
+    let mut removed: BTreeMap<EndpointId, ()> = BTreeMap::new();
+    let mut changes = Vec::new();
+    for event in events {
+        match event {
+            RegistryEvent::Removed(id) => {
+                removed.insert(id, ());
+            }
+            RegistryEvent::Announced(record) => {
+                removed.remove(&record.id);
+                let id = record.id.clone();
+                changes.push((id, book.apply(RegistryEvent::Announced(record))));
+            }
+        }
+    }
+    let removed: Vec<EndpointId> = removed.into_keys().collect();
+    changes.extend(book.remove_together(now, &removed));
+    changes
+}
+
+/// The tasks of a running entry. Dropping the handle ends them.
+#[derive(Debug)]
+pub struct EntryTasks {
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Drop for EntryTasks {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
+
+/// Spawns the tasks that keep an entry up to date.
+pub fn spawn_tasks(
+    core: &Arc<EntryCore>,
+    config: impl FeedSource<Item = ConfigRecord>,
+    registry: impl FeedSource<Item = RegistryEvent>,
+) -> EntryTasks {
+    let config_core = Arc::clone(core);
+    let registry_core = Arc::clone(core);
+    let config_options = FeedOptions {
+        name: "configuration",
+        wait: CONFIG_WAIT,
+        interval: CONFIG_INTERVAL,
+    };
+    let registry_options = FeedOptions {
+        name: "registry",
+        wait: Duration::ZERO,
+        interval: REGISTRY_INTERVAL,
+    };
+    let tasks = vec![
+        tokio::spawn(async move {
+            feed::follow(config, config_options, |event| {
+                config_core.take_config(event);
+            })
+            .await;
+        }),
+        tokio::spawn(async move {
+            feed::follow(registry, registry_options, |event| {
+                registry_core.take_registry(event);
+            })
+            .await;
+        }),
+        tokio::spawn(keep_house(Arc::clone(core))),
+        tokio::spawn(watch_engines(Arc::clone(core))),
+    ];
+    EntryTasks { tasks }
+}
+
+/// Retires idle connections and endpoints whose removal is due.
+async fn keep_house(core: Arc<EntryCore>) {
+    let mut ticks = interval(HOUSEKEEPING_INTERVAL);
+    loop {
+        ticks.tick().await;
+        core.pool.retire();
+        let now = core.now();
+        let expired = core.state().book.expire(now);
+        for id in expired {
+            log::info!("event=endpoint endpoint={id} change={}", BookChange::Gone);
+        }
+    }
+}
+
+/// Keeps one exchange going with the agent of each engine in the entry's region.
+async fn watch_engines(core: Arc<EntryCore>) {
+    let mut watched: HashSet<EndpointId> = HashSet::new();
+    let (ended, mut endings) = tokio::sync::mpsc::unbounded_channel::<EndpointId>();
+    let mut ticks = interval(HOUSEKEEPING_INTERVAL);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            Some(id) = endings.recv() => {
+                watched.remove(&id);
+                continue;
+            }
+        }
+        for (id, address) in near_engines(&core) {
+            if watched.insert(id.clone()) {
+                let core = Arc::clone(&core);
+                let ended = ended.clone();
+                tokio::spawn(async move {
+                    watch_engine(core, &id, address).await;
+                    // The receiver lives as long as the process.
+                    let _ = ended.send(id);
+                });
+            }
+        }
+    }
+}
+
+fn near_engines(core: &EntryCore) -> Vec<(EndpointId, SocketAddr)> {
+    let state = core.state();
+    let Some(table) = state.config.current() else {
+        return Vec::new();
+    };
+    let is_engine = |endpoint: &&EndpointState| {
+        table
+            .service(&endpoint.record.service)
+            .is_some_and(|service| service.engine.is_some())
+    };
+    state
+        .book
+        .iter()
+        .filter(|endpoint| core.options.locality.is_near(&endpoint.record.data_centre))
+        .filter(is_engine)
+        .map(|endpoint| (endpoint.record.id.clone(), endpoint.record.address))
+        .collect()
+}
+
+/// Exchanges use and contents with the agent of one engine until the engine is gone.
+async fn watch_engine(core: Arc<EntryCore>, id: &EndpointId, address: SocketAddr) {
+    let agent = SocketAddr::new(address.ip(), core.options.agent_port);
+    let mut seen = 0;
+    let mut silent = false;
+    let mut wait = Duration::ZERO;
+    loop {
+        let usage = {
+            let state = core.state();
+            if state.book.get(id).is_none() {
+                return;
+            }
+            state.book.usage(&core.options.name, id)
+        };
+        match core.agents.exchange(agent, usage, seen, wait).await {
+            Ok(view) => {
+                if std::mem::take(&mut silent) {
+                    log::info!("event=dependency_regained agent={agent} endpoint={id}");
+                }
+                seen = view.revision;
+                wait = if view.waiting_loads > 0 {
+                    PRESSED_EXCHANGE_WAIT
+                } else {
+                    EXCHANGE_WAIT
+                };
+                let empty = view.contents.cache_total > 0
+                    && view.contents.models.is_empty()
+                    && !view.contents.busy;
+                let now = core.now();
+                core.state().book.take_view(now, id, view);
+                core.changed.notify_waiters();
+                if empty {
+                    fill_engine(&core, id, address);
+                }
+                sleep(EXCHANGE_INTERVAL).await;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut silent, true) {
+                    log::warn!("event=dependency_lost endpoint={id} error={error}");
+                }
+                core.state().book.forget_view(id);
+                seen = 0;
+                wait = Duration::ZERO;
+                sleep(AGENT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Asks the agent of an empty engine to load the service's first model.
+fn fill_engine(core: &Arc<EntryCore>, id: &EndpointId, address: SocketAddr) {
+    let state = core.state();
+    let Some(endpoint) = state.book.get(id).filter(|endpoint| endpoint.is_open()) else {
+        return;
+    };
+    let service = endpoint.record.service.clone();
+    let rule = state
+        .config
+        .current()
+        .and_then(|table| table.service(&service).cloned());
+    drop(state);
+    let Some(rule) = rule else {
+        return;
+    };
+    let Some(engine) = rule.engine.clone() else {
+        return;
+    };
+    let Some(model) = engine.models.first() else {
+        return;
+    };
+    let key = LoadKey {
+        endpoint: id.clone(),
+        model: model.name.clone(),
+        adapter: None,
+        version: None,
+    };
+    let core = Arc::clone(core);
+    tokio::spawn(async move {
+        core.load(key, address, &engine, MODEL_PATIENCE).await;
+    });
+}
--- /dev/null
+++ b/crates/amaranth-relay/src/event_splitter.rs
@@ -0,0 +1,91 @@
+//! Cuts a stream of server-sent events into whole events, bytes unchanged.
+
+use bytes::{Bytes, BytesMut};
+
+/// Largest event that is waited for, in bytes.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
+/// Whole events, as they were sent.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EventRun {
+    /// The bytes of the events, blank lines included.
+    pub bytes: Bytes,
+    /// The id of the last event that has one.
+    pub last_id: Option<u64>,
+    /// How many events these are.
+    pub events: u32,
+}
+
+/// An event is larger than any that an engine sends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an event of the stream is longer than {MAX_EVENT_BYTES} bytes")]
+pub struct EventTooLong;
+
+/// Collects bytes until an event is whole.
+#[derive(Debug, Default)]
+pub struct EventSplitter {
+    pending: BytesMut,
+    scanned: usize,
+}
+
+impl EventSplitter {
+    /// Takes bytes and returns the events that they complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an event grows beyond all bounds.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventRun>, EventTooLong> {
+        self.pending.extend_from_slice(bytes);
+        let mut end = 0;
+        let mut events = 0;
+        while let Some(length) = self.find_end(end) {
+            end = length;
+            events += 1;
+        }
+        self.scanned = self.pending.len().saturating_sub(3).max(end);
+        if end == 0 {
+            if self.pending.len() > MAX_EVENT_BYTES {
+                return Err(EventTooLong);
+            }
+            return Ok(None);
+        }
+        let bytes = self.pending.split_to(end).freeze();
+        self.scanned -= end;
+        let last_id = last_id(&bytes);
+        Ok(Some(EventRun {
+            bytes,
+            last_id,
+            events,
+        }))
+    }
+
+    /// Returns whether an event was begun and not completed.
+    pub fn is_within_event(&self) -> bool {
+        !self.pending.is_empty()
+    }
+
+    /// Returns where the event that begins at or before `from` ends, blank line included.
+    fn find_end(&self, from: usize) -> Option<usize> {
+        let start = from.max(self.scanned);
+        let text = &self.pending[..];
+        let mut position = start;
+        while let Some(offset) = text.get(position..)?.iter().position(|byte| *byte == b'\n') {
+            let after = position + offset + 1;
+            match text.get(after) {
+                Some(b'\n') => return Some(after + 1),
+                Some(b'\r') if text.get(after + 1) == Some(&b'\n') => return Some(after + 2),
+                _ => position = after,
+            }
+        }
+        None
+    }
+}
+
+/// Returns the last `id` of a run of events.
+fn last_id(bytes: &[u8]) -> Option<u64> {
+    bytes
+        .split(|byte| *byte == b'\n')
+        .rev()
+        .filter_map(|line| line.strip_prefix(b"id:"))
+        .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
+}
--- /dev/null
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -0,0 +1,98 @@
+//! A call's place at an endpoint, from the choice to the end.
+
+use std::sync::Arc;
+
+use amaranth_core::ids::EndpointId;
+use amaranth_dispatch::call::GenerationNeed;
+use amaranth_dispatch::endpoint_book::EndpointOutcome;
+use amaranth_dispatch::engine_estimate::PromptTicket;
+use amaranth_dispatch::engine_placer::adapter_seed;
+
+use crate::entry::EntryCore;
+
+/// Counts a call at an endpoint until it is dropped.
+#[derive(Debug)]
+pub struct SendGuard {
+    core: Arc<EntryCore>,
+    endpoint: EndpointId,
+    need: Option<Arc<GenerationNeed>>,
+    ticket: Option<PromptTicket>,
+    outcome: EndpointOutcome,
+}
+
+impl SendGuard {
+    /// Counts a call at an endpoint.
+    pub fn open(
+        core: Arc<EntryCore>,
+        endpoint: EndpointId,
+        need: Option<Arc<GenerationNeed>>,
+    ) -> Self {
+        let used = need.as_deref().and_then(used_adapter);
+        core.state().book.begin_call(&endpoint, used);
+        Self {
+            core,
+            endpoint,
+            need,
+            ticket: None,
+            outcome: EndpointOutcome::Inconclusive,
+        }
+    }
+
+    /// Returns the endpoint.
+    pub const fn endpoint(&self) -> &EndpointId {
+        &self.endpoint
+    }
+
+    /// Notes that the prompt goes to the engine now.
+    pub fn prompt_sent(&mut self) {
+        let Some(need) = self.need.clone() else {
+            return;
+        };
+        let now = self.core.now();
+        let mut state = self.core.state();
+        if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
+            let batch = endpoint.calls();
+            let seed = adapter_seed(&need);
+            self.ticket = Some(endpoint.estimate.begin(now, &need, seed, batch));
+        }
+    }
+
+    /// Notes that the first event came.
+    pub fn first_event_came(&mut self) {
+        let (Some(need), Some(ticket)) = (self.need.clone(), self.ticket.take()) else {
+            return;
+        };
+        let now = self.core.now();
+        let mut state = self.core.state();
+        if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
+            let seed = adapter_seed(&need);
+            endpoint.estimate.first_event_came(now, ticket, &need, seed);
+        }
+    }
+
+    /// Notes how the call went, for the endpoint's health.
+    pub const fn conclude(&mut self, outcome: EndpointOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+fn used_adapter(
+    need: &GenerationNeed,
+) -> Option<(
+    &amaranth_core::ids::ModelName,
+    &amaranth_core::ids::AdapterName,
+)> {
+    Some((&need.model, need.adapter.as_ref()?))
+}
+
+impl Drop for SendGuard {
+    fn drop(&mut self) {
+        let now = self.core.now();
+        let mut state = self.core.state();
+        if let (Some(ticket), Some(endpoint)) = (self.ticket, state.book.get_mut(&self.endpoint)) {
+            endpoint.estimate.abandon(ticket);
+        }
+        let used = self.need.as_deref().and_then(used_adapter);
+        state.book.end_call(now, &self.endpoint, used, self.outcome);
+    }
+}
--- a/crates/amaranth-telemetry/src/lib.rs
+++ b/crates/amaranth-telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod admin;
 pub mod arguments;
 pub mod decision_log;
+pub mod log_writer;
 pub mod logs;
 pub mod metrics;
 pub mod program;
--- a/crates/amaranth-telemetry/src/metrics.rs
+++ b/crates/amaranth-telemetry/src/metrics.rs
@@ -9,6 +9,11 @@
 }
 
 impl MetricsHandle {
+    /// Takes in what was recorded since the last time, so that samples don't pile up.
+    pub fn upkeep(&self) {
+        self.recorder.run_upkeep();
+    }
+
     /// Returns the metrics as text.
     pub fn render(&self) -> String {
         self.recorder.run_upkeep();
--- a/crates/amaranth-wire/src/lib.rs
+++ b/crates/amaranth-wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 pub mod codec;
 pub mod entry;
+pub mod shelf;
 pub mod transport;
 
 /// Largest frame that a process accepts from a peer, in bytes.
