Place generations by what they would earn, loads priced

Cause: a copy was made whenever it came sooner, and each one is fetched at a price; adapters that an engine had dropped were not preferred there.

Tried and reverted: closing endpoint connections with a reset.

--- a/crates/amaranth-dispatch/src/adapter_shelf.rs
+++ b/crates/amaranth-dispatch/src/adapter_shelf.rs
@@ -12,7 +12,9 @@
 use amaranth_core::time::Timestamp;
 use strum::Display;
 
-use crate::engine_view::{EngineContents, EngineView, LoadOutcome, LoadWish, UsageReport};
+use crate::engine_view::{
+    EngineContents, EngineView, LoadOutcome, LoadWish, UsageReport, adapter_key,
+};
 
 /// Age at which an entry's report of its use counts no longer: it stopped or can't be reached.
 const USAGE_TIMEOUT: Duration = Duration::from_millis(2_500);
@@ -30,6 +32,14 @@
 /// way.
 const FRESH_TIME: Duration = Duration::from_millis(200);
 
+/// Adapters that an engine keeps at hand after it dropped them, in multiples of its places. They
+/// load again in a fraction of the time and without the weight store.
+const REMEMBERED_PER_PLACE: usize = 6;
+
+/// Time for which an adapter that the engine did not drop when ordered to is not given up again:
+/// a run that the agent does not know of uses it.
+const HELD_BACK_TIME: Duration = Duration::from_millis(1_500);
+
 /// An order to an engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ShelfOrder {
@@ -86,6 +96,10 @@
     contents: Option<EngineContents>,
     usage: HashMap<String, (Timestamp, UsageReport)>,
     last_used: HashMap<(ModelName, AdapterName), Timestamp>,
+    held_back: HashMap<(ModelName, AdapterName), Timestamp>,
+    remembered: Vec<u64>,
+    places: usize,
+    ordered: Option<ShelfOrder>,
     waiting: Vec<WaitingWish>,
     wishes: u64,
     under_way: bool,
@@ -120,6 +134,8 @@
     /// Takes the engine's own report.
     pub fn observe(&mut self, now: Timestamp, contents: EngineContents) {
         self.stale = false;
+        self.hold_back_undropped(now, &contents);
+        self.remember(&contents);
         for held in &contents.adapters {
             self.last_used
                 .entry((held.model.clone(), held.name.clone()))
@@ -143,6 +159,36 @@
         self.contents = Some(contents);
     }
 
+    /// Notes an adapter that was ordered to be dropped and is still there.
+    fn hold_back_undropped(&mut self, now: Timestamp, contents: &EngineContents) {
+        if let Some(ShelfOrder::DropAdapter(model, name)) = self.ordered.take()
+            && contents.holds(&model, &name, None)
+        {
+            self.held_back.insert((model, name), now + HELD_BACK_TIME);
+        }
+        self.held_back.retain(|_, until| *until > now);
+    }
+
+    /// Moves what the engine holds to the newest end of what it keeps at hand.
+    fn remember(&mut self, contents: &EngineContents) {
+        let started = self.contents.as_ref().map(|known| known.started_ms);
+        if started.is_some_and(|started| started != contents.started_ms) {
+            self.remembered.clear();
+        }
+        let known = self.contents.as_ref().map(|known| &known.adapters);
+        if known == Some(&contents.adapters) {
+            return;
+        }
+        for held in &contents.adapters {
+            let key = adapter_key(&held.model, Some(&held.name));
+            self.remembered.retain(|known| *known != key);
+            self.remembered.push(key);
+        }
+        let kept = self.places.max(1) * REMEMBERED_PER_PLACE;
+        let excess = self.remembered.len().saturating_sub(kept);
+        self.remembered.drain(..excess);
+    }
+
     /// Forgets the engine's contents: it can't be reached.
     pub fn lose_engine(&mut self) {
         if self.contents.take().is_some() {
@@ -177,6 +223,7 @@
             revision: self.revision,
             contents: self.contents.clone().unwrap_or_default(),
             in_use,
+            remembered: self.remembered.clone(),
             waiting_loads: u32::try_from(self.waiting.len()).unwrap_or(u32::MAX),
         }
     }
@@ -199,6 +246,7 @@
 
     /// Takes a wish that the engine does not meet yet.
     pub fn ask(&mut self, now: Timestamp, wish: LoadWish) -> WishId {
+        self.places = wish.adapter_places as usize;
         self.wishes += 1;
         let id = WishId(self.wishes);
         let until = now + wish.patience;
@@ -248,6 +296,7 @@
             .filter(|waiting| !self.is_held(&waiting.wish) && !self.is_coming(&waiting.wish))
             .find_map(|waiting| self.order_for(now, &waiting.wish))?;
         self.under_way = true;
+        self.ordered = Some(order.clone());
         Some(GuardedOrder {
             order,
             endpoint,
@@ -328,6 +377,11 @@
             .adapters
             .iter()
             .filter(|held| !self.is_used(now, &held.model, &held.name))
+            .filter(|held| {
+                !self
+                    .held_back
+                    .contains_key(&(held.model.clone(), held.name.clone()))
+            })
             .filter(|held| {
                 let used = self.last_used.get(&(held.model.clone(), held.name.clone()));
                 used.is_none_or(|at| now.since(*at) >= FRESH_TIME)
--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -29,12 +29,20 @@
 /// Prompt parts that are remembered for each engine.
 const PARTS_KEPT: usize = 256;
 
+/// Least time without a first event after which an engine counts as silent.
+const LEAST_SILENCE: Duration = Duration::from_millis(900);
+
+/// Time without a first event after which an engine counts as silent, in multiples of the time
+/// that was expected.
+const SILENCE_FACTOR: u32 = 3;
+
 /// A prompt that was sent and whose first event has not come.
 #[derive(Debug, Clone, Copy)]
 struct UnreadPrompt {
     ticket: u64,
     tokens: u32,
     sent_at: Timestamp,
+    expected: Duration,
 }
 
 /// Identifies a prompt between [`EngineEstimate::begin`] and its end.
@@ -59,6 +67,7 @@
     pace: f64,
     pace_at: Timestamp,
     parts: Vec<(u64, Timestamp)>,
+    heard_at: Timestamp,
 }
 
 impl Default for EngineEstimate {
@@ -69,6 +78,7 @@
             pace: 1.0,
             pace_at: Timestamp::ZERO,
             parts: Vec::new(),
+            heard_at: Timestamp::ZERO,
         }
     }
 }
@@ -80,6 +90,15 @@
         1.0 + (self.pace - 1.0) * (-age / PACE_HALF_LIFE_S).exp2()
     }
 
+    /// Returns whether the engine owes a first event for much longer than was expected, and has
+    /// sent none since.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        self.unread.iter().any(|prompt| {
+            let limit = (prompt.expected * SILENCE_FACTOR).max(LEAST_SILENCE);
+            prompt.sent_at >= self.heard_at && now.since(prompt.sent_at) > limit
+        })
+    }
+
     /// Returns the tokens that were sent and, by the pace of reading, are not read yet.
     pub fn backlog_tokens(&self, now: Timestamp) -> f64 {
         let total: f64 = self
@@ -127,6 +146,7 @@
             ticket: self.tickets,
             tokens,
             sent_at: now,
+            expected,
         });
         PromptTicket {
             number: self.tickets,
@@ -145,6 +165,7 @@
         let Some(position) = self.position(ticket) else {
             return;
         };
+        self.heard_at = now;
         let took = now.since(self.unread[position].sent_at).as_secs_f64();
         self.unread.remove(position);
         let pace = self.pace(now);
--- a/crates/amaranth-dispatch/src/engine_placer.rs
+++ b/crates/amaranth-dispatch/src/engine_placer.rs
@@ -1,8 +1,9 @@
 //! Which engine a generation goes to.
 //!
-//! An engine that holds the adapter is taken unless another one would, its load included, send
-//! the first event sooner by a margin. Engines abroad are taken only when the wait at home is
-//! longer than what the way abroad costs.
+//! Each engine is weighed by what the call would earn there: an answer in time is worth one, a
+//! late one less, and loads from the weight store, the way abroad and an engine's failures have
+//! their prices. So a call waits at an engine that holds its adapter while it is on time there,
+//! and a copy is made only when it is not.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -14,28 +15,45 @@
 
 use crate::call::GenerationNeed;
 use crate::endpoint_book::{EndpointBook, EndpointState};
+use crate::engine_view::adapter_key;
 use crate::routes::EngineRule;
 
-/// What the way abroad costs, as time: two crossings and the price of the bytes.
-const ABROAD_COST: Duration = Duration::from_millis(200);
-
 /// Time of a load from the weight store, with its orders.
-const LOAD_COST: Duration = Duration::from_millis(300);
+const LOAD_TIME: Duration = Duration::from_millis(300);
+
+/// Time of a load of an adapter that the engine keeps at hand, with its orders.
+const RELOAD_TIME: Duration = Duration::from_millis(60);
+
+/// Time of the way abroad and back.
+const ABROAD_TIME: Duration = Duration::from_millis(25);
+
+/// Price of a load from the weight store, as a part of what an answer in time is worth.
+const LOAD_PRICE: f64 = 0.25;
+
+/// Price of a load of an adapter that the engine keeps at hand.
+const RELOAD_PRICE: f64 = 0.01;
 
-/// What a copy of an adapter costs beyond the wait for it, as time: it takes a place from another.
-const COPY_COST: Duration = Duration::from_millis(80);
+/// Price of the bytes of a call abroad.
+const ABROAD_PRICE: f64 = 0.06;
 
-/// Time that each place in the order of preference is worth, so that entries agree on cold loads.
-const RANK_COST: Duration = Duration::from_millis(12);
+/// Price of each place in the order of preference, so that entries agree on cold loads.
+const RANK_PRICE: f64 = 0.01;
 
-/// Time that the rate of failures of an engine is worth, at a rate of one.
-const FAILURE_COST: Duration = Duration::from_millis(2_000);
+/// What a failure costs: the answer is lost or late.
+const FAILURE_PRICE: f64 = 0.7;
 
-/// Time by which an engine that was just passed over for failures ranks behind others.
-const SHUN_COST: Duration = Duration::from_millis(5_000);
+/// What it costs to go to an engine that is passed over for failures, or whose memory is full.
+const LAST_RESORT_PRICE: f64 = 2.0;
 
-/// Time by which an engine without memory for a prompt ranks behind others.
-const FULL_COST: Duration = Duration::from_millis(800);
+/// What a late answer is worth, as a part of one in time.
+const LATE_WORTH: f64 = 0.3;
+
+/// Part of the objective up to which a predicted first event is surely in time, and the one from
+/// which it is surely late.
+const SURE_PARTS: (f64, f64) = (0.55, 1.25);
+
+/// What an engine's time costs others, for each objective's length of waiting.
+const WAIT_PRICE: f64 = 0.12;
 
 /// Where this entry stands, and what is near.
 #[derive(Debug, Clone, Default)]
@@ -65,6 +83,8 @@
     Held,
     /// It is loading it.
     Coming,
+    /// It keeps the adapter at hand, and has a place for it.
+    AtHand,
     /// It has a free place, or one whose adapter is idle.
     FreePlace,
 }
@@ -93,46 +113,52 @@
     pub version: Option<u64>,
     /// Endpoints that failed the call.
     pub excluded: &'a [EndpointId],
+    /// The time within which a first event is on time.
+    pub objective: Duration,
+    /// The time that the call has spent already.
+    pub spent: Duration,
 }
 
-/// Returns the seed under which an adapter's prompt parts are kept.
-pub fn adapter_seed(need: &GenerationNeed) -> u64 {
-    let name = need.adapter.as_ref().map_or("", |name| name.as_str());
-    hash64(hash64(0, need.model.as_str().as_bytes()), name.as_bytes())
+/// Returns the key under which an adapter and its prompt parts are kept.
+pub fn need_key(need: &GenerationNeed) -> u64 {
+    adapter_key(&need.model, need.adapter.as_ref())
 }
 
-/// Returns the engine that would send the first event soonest, all costs counted, or nothing if
-/// none can take the call.
+/// Returns the engine where the call would earn most, all prices counted, or nothing if none can
+/// take it.
 pub fn place(
     now: Timestamp,
     book: &EndpointBook,
     locality: &Locality,
     query: PlaceQuery<'_>,
 ) -> Option<EngineChoice> {
-    let seed = adapter_seed(query.need);
+    let key = need_key(query.need);
     let mut ranked: Vec<(u64, &EndpointState)> = book
         .of_service(query.service)
         .filter(|state| state.is_open() && !query.excluded.contains(&state.record.id))
-        .map(|state| (hash64(seed, state.record.id.as_str().as_bytes()), state))
+        .map(|state| (hash64(key, state.record.id.as_str().as_bytes()), state))
         .collect();
     ranked.sort_unstable_by_key(|(score, _)| *score);
     let mut near_rank = 0;
-    let mut best: Option<(Duration, EngineChoice)> = None;
+    let mut best: Option<(f64, EngineChoice)> = None;
     for (_, state) in ranked {
         let near = locality.is_near(&state.record.data_centre);
         let rank = near_rank;
         near_rank += u32::from(near);
-        let Some((reason, extra)) = readiness(state, query, rank) else {
+        let Some(reason) = readiness(state, query, key) else {
             continue;
         };
-        let batch = batch_size(state);
-        let tokens = state.estimate.unread_tokens(query.need, seed);
-        let first_event = state.estimate.first_event(now, tokens, batch) + load_wait(reason);
-        let cost = first_event + extra + penalties(now, state, query, near);
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+        let tokens = state.estimate.unread_tokens(query.need, key);
+        let travel = if near { Duration::ZERO } else { ABROAD_TIME };
+        let first_event =
+            state.estimate.first_event(now, tokens, batch_size(state)) + load_time(reason) + travel;
+        let earned = expected_worth(query.spent + first_event, query.objective)
+            - load_price(reason, rank)
+            - prices(now, state, query, near);
+        if best.as_ref().is_none_or(|(most, _)| earned > *most) {
             let endpoint = state.record.id.clone();
             best = Some((
-                cost,
+                earned,
                 EngineChoice {
                     endpoint,
                     reason,
@@ -144,45 +170,59 @@
     best.map(|(_, choice)| choice)
 }
 
+/// Returns what an answer earns whose first event is predicted after `first_event`, as a part of
+/// what one in time is worth, less what the engine's time costs others.
+fn expected_worth(first_event: Duration, objective: Duration) -> f64 {
+    let parts = first_event.as_secs_f64() / objective.as_secs_f64().max(0.001);
+    let (sure, late) = SURE_PARTS;
+    let in_time = 1.0 - ((parts - sure) / (late - sure)).clamp(0.0, 1.0);
+    LATE_WORTH + (1.0 - LATE_WORTH) * in_time - WAIT_PRICE * parts
+}
+
 /// Returns the requests that an engine is believed to have, this entry's and others'.
 fn batch_size(state: &EndpointState) -> u32 {
     let contents = state.contents();
     state.calls().max(contents.active + contents.queued)
 }
 
-fn load_wait(reason: PlaceReason) -> Duration {
+const fn load_time(reason: PlaceReason) -> Duration {
     match reason {
         PlaceReason::Held => Duration::ZERO,
-        PlaceReason::Coming => LOAD_COST / 2,
-        PlaceReason::FreePlace => LOAD_COST,
+        PlaceReason::Coming => Duration::from_millis(150),
+        PlaceReason::AtHand => RELOAD_TIME,
+        PlaceReason::FreePlace => LOAD_TIME,
     }
 }
 
-/// Returns how an engine can serve the call and what that costs beyond the wait.
-fn readiness(
-    state: &EndpointState,
-    query: PlaceQuery<'_>,
-    rank: u32,
-) -> Option<(PlaceReason, Duration)> {
+fn load_price(reason: PlaceReason, rank: u32) -> f64 {
+    match reason {
+        PlaceReason::Held | PlaceReason::Coming => 0.0,
+        PlaceReason::AtHand => RELOAD_PRICE,
+        PlaceReason::FreePlace => LOAD_PRICE + RANK_PRICE * f64::from(rank),
+    }
+}
+
+/// Returns how an engine can serve the call, if it can.
+fn readiness(state: &EndpointState, query: PlaceQuery<'_>, key: u64) -> Option<PlaceReason> {
     let contents = state.contents();
     let need = query.need;
     if !contents.models.contains(&need.model) {
         return None;
     }
     let Some(adapter) = &need.adapter else {
-        return Some((PlaceReason::Held, Duration::ZERO));
+        return Some(PlaceReason::Held);
     };
     if contents.holds(&need.model, adapter, query.version) {
-        return Some((PlaceReason::Held, Duration::ZERO));
+        return Some(PlaceReason::Held);
     }
     let coming = contents.coming.iter().chain(state.wishes()).any(|coming| {
         coming.is_for(&need.model, adapter) && query.version.is_none_or(|v| coming.version >= v)
     });
     if coming {
-        return Some((PlaceReason::Coming, Duration::ZERO));
+        return Some(PlaceReason::Coming);
     }
     // Without its agent nobody gives the engine orders.
-    state.view.as_ref()?;
+    let (_, view) = state.view.as_ref()?;
     let has_older = contents.holds(&need.model, adapter, None);
     if has_older && state.is_used(&need.model, adapter) {
         return None;
@@ -190,7 +230,10 @@
     if !has_older && !has_idle_place(state, query.engine) {
         return None;
     }
-    Some((PlaceReason::FreePlace, COPY_COST + RANK_COST * rank))
+    if !has_older && view.remembered.contains(&key) {
+        return Some(PlaceReason::AtHand);
+    }
+    Some(PlaceReason::FreePlace)
 }
 
 /// Returns whether an engine has a place that is free or whose adapter nobody is known to use.
@@ -210,15 +253,23 @@
     used + expected < engine.adapter_places as usize
 }
 
-/// Returns the costs that do not depend on the adapter.
-fn penalties(now: Timestamp, state: &EndpointState, query: PlaceQuery<'_>, near: bool) -> Duration {
-    let mut cost = FAILURE_COST.mul_f64(state.failure_rate());
+/// Returns the prices that do not depend on the adapter.
+fn prices(now: Timestamp, state: &EndpointState, query: PlaceQuery<'_>, near: bool) -> f64 {
+    let mut price = FAILURE_PRICE * state.failure_rate();
     if !near {
-        cost += ABROAD_COST;
+        price += ABROAD_PRICE;
     }
-    if state.is_shunned(now) {
-        cost += SHUN_COST;
+    if state.is_shunned(now) || state.estimate.is_silent(now) {
+        price += LAST_RESORT_PRICE;
     }
+    if is_full(now, state, query) {
+        price += LAST_RESORT_PRICE / 2.0;
+    }
+    price
+}
+
+/// Returns whether an engine has no slot or no memory for the call.
+fn is_full(now: Timestamp, state: &EndpointState, query: PlaceQuery<'_>) -> bool {
     let contents = state.contents();
     let total = if contents.cache_total > 0 {
         contents.cache_total
@@ -227,8 +278,5 @@
     };
     let wanted = u64::from(query.need.prompt_tokens + query.need.expected_output());
     let backlog = state.estimate.backlog_tokens(now) as u64;
-    if contents.cache_used + backlog + wanted > total || batch_size(state) >= query.engine.slots {
-        cost += FULL_COST;
-    }
-    cost
+    contents.cache_used + backlog + wanted > total || batch_size(state) >= query.engine.slots
 }
--- a/crates/amaranth-dispatch/src/engine_view.rs
+++ b/crates/amaranth-dispatch/src/engine_view.rs
@@ -2,9 +2,16 @@
 
 use std::time::Duration;
 
+use amaranth_core::digest::hash64;
 use amaranth_core::ids::{AdapterName, EndpointId, ModelName};
 use serde::{Deserialize, Serialize};
 
+/// Returns a key that stands for an adapter, or for its model alone.
+pub fn adapter_key(model: &ModelName, adapter: Option<&AdapterName>) -> u64 {
+    let name = adapter.map_or("", |name| name.as_str());
+    hash64(hash64(0, model.as_str().as_bytes()), name.as_bytes())
+}
+
 /// An adapter at an engine.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldAdapter {
@@ -90,6 +97,9 @@
     pub contents: EngineContents,
     /// The adapters that some entry uses.
     pub in_use: Vec<(ModelName, AdapterName)>,
+    /// The keys of adapters that the engine holds or has held so recently that it loads them again
+    /// without the weight store, oldest first.
+    pub remembered: Vec<u64>,
     /// Loads that wait for a place.
     pub waiting_loads: u32,
 }
--- a/crates/amaranth-relay/src/agent.rs
+++ b/crates/amaranth-relay/src/agent.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranth_core::time::{MonotonicClock, Timestamp};
+use amaranth_core::time::Timestamp;
 use amaranth_dispatch::adapter_shelf::{AdapterShelf, GuardedOrder, OrderAnswer, WishId};
 use amaranth_dispatch::engine_view::{
     EngineContents, EngineView, LoadOutcome, LoadWish, UsageReport,
@@ -19,10 +19,12 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout};
 
+use crate::suspend_clock::SuspendClock;
+
 /// What the tasks of an agent share.
 #[derive(Debug)]
 pub struct AgentCore {
-    clock: MonotonicClock,
+    clock: SuspendClock,
     shelf: Mutex<AdapterShelf>,
     waiters: Mutex<HashMap<WishId, oneshot::Sender<LoadOutcome>>>,
     changed: Notify,
@@ -32,7 +34,7 @@
 impl Default for AgentCore {
     fn default() -> Self {
         Self {
-            clock: MonotonicClock::start(),
+            clock: SuspendClock::start(),
             shelf: Mutex::default(),
             waiters: Mutex::default(),
             changed: Notify::new(),
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use amaranth_core::ids::{EndpointId, ServiceName};
+use amaranth_core::time::Timestamp;
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
 use amaranth_dispatch::call::{CallHead, GenerationNeed};
 use amaranth_dispatch::endpoint_book::EndpointOutcome;
@@ -71,11 +72,19 @@
     pub arrived: Instant,
     /// When its caller has gone, or the route's timeout is over.
     pub expires: Instant,
+    /// The same on the clock that also counts while the VM is suspended.
+    pub expires_at: Timestamp,
 }
 
 impl Call {
-    fn time_left(&self) -> Duration {
-        self.expires.saturating_duration_since(Instant::now())
+    /// Returns the adapter that the call names, for the log.
+    pub fn adapter_name(&self) -> &str {
+        let adapter = self.need.as_ref().and_then(|need| need.adapter.as_ref());
+        adapter.map_or("-", |adapter| adapter.as_str())
+    }
+
+    fn time_left(&self, core: &EntryCore) -> Duration {
+        self.expires_at.since(core.now())
     }
 }
 
@@ -201,6 +210,7 @@
         config_version: table.version(),
         arrived,
         expires: arrived + patience,
+        expires_at: core.now() + patience.saturating_sub(arrived.elapsed()),
     })
 }
 
@@ -245,7 +255,7 @@
             history.after_failure(&call.route, &endpoint, failed.failure, &mut state.budget)
         };
         match step {
-            NextStep::SendAgain if call.time_left() > LEAST_TIME_LEFT => {}
+            NextStep::SendAgain if call.time_left(&core) > LEAST_TIME_LEFT => {}
             NextStep::SendAgain => {
                 let cause = expired_cause(&history);
                 return record.refuse(Refusal::new(cause), &history, last_failure);
@@ -339,6 +349,8 @@
                 need,
                 version,
                 excluded: history.tried(),
+                objective: call.route.objective,
+                spent: call.arrived.elapsed(),
             };
             let locality = &core.options.locality;
             let choice = engine_placer::place(now, &state.book, locality, query);
@@ -357,7 +369,7 @@
             }
             continue;
         };
-        if choice.first_event > call.time_left() {
+        if choice.first_event > call.time_left(core) {
             let delay = choice.first_event.saturating_sub(call.route.objective);
             return Err(Refusal::after(
                 RefusalCause::Overloaded,
@@ -380,7 +392,7 @@
                 .route
                 .objective
                 .mul_f64(LOAD_PATIENCE_PART)
-                .min(call.time_left());
+                .min(call.time_left(core));
             outcome = core.load(key, address, engine, patience).await;
             if outcome != LoadOutcome::Held {
                 continue;
@@ -473,7 +485,7 @@
 ) -> Request<Full<Bytes>> {
     let terms = SendTerms {
         endpoint,
-        time_left: call.time_left(),
+        time_left: call.time_left(core),
         priority: call.engine.as_ref().map(|_| call.route.priority),
         adapter_version,
         resume_after,
@@ -666,13 +678,14 @@
         let took = self.call.arrived.elapsed();
         metrics::histogram!("amaranth_call_seconds").record(took.as_secs_f64());
         log::info!(
-            "event=call id={} route={} kind={} endpoint={} outcome={outcome} status={status} took_ms={} config={}",
+            "event=call id={} route={} kind={} endpoint={} outcome={outcome} adapter={} status={status} took_ms={} config={}",
             self.call.head.id,
             self.call.route.name,
             self.call.route.kind,
             self.endpoint
                 .as_ref()
                 .map_or("-", |endpoint| endpoint.as_str()),
+            self.call.adapter_name(),
             took.as_millis(),
             self.call.config_version,
         );
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -7,7 +7,7 @@
 
 use amaranth_control::retry_budget::RetryBudget;
 use amaranth_core::ids::{AdapterName, EndpointId, ModelName};
-use amaranth_core::time::{MonotonicClock, Timestamp};
+use amaranth_core::time::Timestamp;
 use amaranth_dispatch::attempts::open_retry_share;
 use amaranth_dispatch::endpoint_book::{
     BookChange, EndpointBook, EndpointRecord, EndpointState, RegistryEvent,
@@ -26,6 +26,7 @@
 use crate::feed::{self, FeedEvent, FeedOptions, FeedSource};
 use crate::load_waits::{LoadKey, LoadWaits};
 use crate::readiness::{EntryStage, StageCell};
+use crate::suspend_clock::SuspendClock;
 
 /// Time for which a read of the configuration waits for a change.
 const CONFIG_WAIT: Duration = Duration::from_millis(3_000);
@@ -122,7 +123,7 @@
     pub loads: LoadWaits,
     /// The stage of the process.
     pub stage: StageCell,
-    clock: MonotonicClock,
+    clock: SuspendClock,
     state: Mutex<EntryState>,
     changed: Notify,
 }
@@ -147,7 +148,7 @@
             agents: AgentLinks::default(),
             loads: LoadWaits::default(),
             stage: StageCell::default(),
-            clock: MonotonicClock::start(),
+            clock: SuspendClock::start(),
             state: Mutex::new(EntryState {
                 config: ConfigKeeper::default(),
                 versions: VersionBook::default(),
--- a/crates/amaranth-relay/src/feed.rs
+++ b/crates/amaranth-relay/src/feed.rs
@@ -69,6 +69,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
 /// Follows a table for ever and hands what it reads to `take`.
+///
+/// A read waits for a change only after one that was answered: a read that is lost in an outage
+/// would otherwise delay the first one after it by the whole wait.
 pub async fn follow<Source: FeedSource>(
     mut source: Source,
     options: FeedOptions,
@@ -80,7 +83,14 @@
         let started = Instant::now();
         let read = match position {
             None => source.read_all().await,
-            Some(position) => source.read_since(position, options.wait).await,
+            Some(position) => {
+                let wait = if outage.is_over() {
+                    options.wait
+                } else {
+                    Duration::ZERO
+                };
+                source.read_since(position, wait).await
+            }
         };
         match read {
             Ok(batch) => {
@@ -125,6 +135,10 @@
         }
     }
 
+    const fn is_over(&self) -> bool {
+        self.since.is_none()
+    }
+
     fn note(&mut self, reason: &str) -> Duration {
         if self.since.is_none() {
             self.since = Some(Instant::now());
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod readiness;
 pub mod send_guard;
 pub mod stream_relay;
+pub mod suspend_clock;
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -6,7 +6,7 @@
 use amaranth_dispatch::call::GenerationNeed;
 use amaranth_dispatch::endpoint_book::EndpointOutcome;
 use amaranth_dispatch::engine_estimate::PromptTicket;
-use amaranth_dispatch::engine_placer::adapter_seed;
+use amaranth_dispatch::engine_placer::need_key;
 
 use crate::entry::EntryCore;
 
@@ -52,7 +52,7 @@
         let mut state = self.core.state();
         if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
             let batch = endpoint.calls();
-            let seed = adapter_seed(&need);
+            let seed = need_key(&need);
             self.ticket = Some(endpoint.estimate.begin(now, &need, seed, batch));
         }
     }
@@ -65,7 +65,7 @@
         let now = self.core.now();
         let mut state = self.core.state();
         if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
-            let seed = adapter_seed(&need);
+            let seed = need_key(&need);
             endpoint.estimate.first_event_came(now, ticket, &need, seed);
         }
     }
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -239,7 +239,7 @@
         let took = self.call.arrived.elapsed();
         metrics::histogram!("amaranth_call_seconds").record(took.as_secs_f64());
         log::info!(
-            "event=call id={} route={} kind={} endpoint={} outcome={} status=200 first_ms={} took_ms={} events={} sends={} config={}",
+            "event=call id={} route={} kind={} endpoint={} outcome={} adapter={} status=200 first_ms={} took_ms={} events={} sends={} config={}",
             self.call.head.id,
             self.call.route.name,
             self.call.route.kind,
@@ -247,6 +247,7 @@
                 .as_ref()
                 .map_or("-", |source| source.guard.endpoint().as_str()),
             self.outcome,
+            self.call.adapter_name(),
             self.first_event.as_millis(),
             took.as_millis(),
             self.events,
