Let loads from the weight store take turns at each entry

Now a load that is slow is waited for, and a gate that learns from load times says how many run at once, most urgent first.

--- a/crates/amaranth-dispatch/src/adapter_shelf.rs
+++ b/crates/amaranth-dispatch/src/adapter_shelf.rs
@@ -215,6 +215,7 @@
         let mut in_use: Vec<(ModelName, AdapterName)> = self
             .live_usage(now)
             .flat_map(|report| &report.uses)
+            .filter(|used| used.calls > 0)
             .map(|used| (used.model.clone(), used.name.clone()))
             .collect();
         in_use.sort();
@@ -397,7 +398,7 @@
     fn is_used(&self, now: Timestamp, model: &ModelName, adapter: &AdapterName) -> bool {
         self.live_usage(now)
             .flat_map(|report| &report.uses)
-            .any(|used| used.name == *adapter && used.model == *model)
+            .any(|used| used.calls > 0 && used.name == *adapter && used.model == *model)
     }
 
     fn live_usage(&self, now: Timestamp) -> impl Iterator<Item = &UsageReport> {
--- a/crates/amaranth-dispatch/src/endpoint_book.rs
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -88,6 +88,7 @@
     /// How its engine performs.
     pub estimate: EngineEstimate,
     uses: Vec<AdapterUse>,
+    touched: Vec<(ModelName, AdapterName)>,
     wishes: Vec<HeldAdapter>,
     calls: u32,
     failures_in_a_row: u32,
@@ -104,6 +105,7 @@
             view: None,
             estimate: EngineEstimate::default(),
             uses: Vec::new(),
+            touched: Vec::new(),
             wishes: Vec::new(),
             calls: 0,
             failures_in_a_row: 0,
@@ -434,26 +436,41 @@
         }
     }
 
-    /// Notes that a call is about to be sent to an endpoint.
-    pub fn begin_call(&mut self, id: &EndpointId, used: Option<(&ModelName, &AdapterName)>) {
+    /// Notes that a call is about to be sent to an endpoint. Returns whether the call begins the
+    /// use of an adapter, which the endpoint's agent has to hear of.
+    pub fn begin_call(
+        &mut self,
+        id: &EndpointId,
+        used: Option<(&ModelName, &AdapterName)>,
+    ) -> bool {
         let Some(state) = self.endpoints.get_mut(id) else {
-            return;
+            return false;
         };
         state.calls += 1;
         let Some((model, adapter)) = used else {
-            return;
+            return false;
         };
+        let touched = (model.clone(), adapter.clone());
+        if !state.touched.contains(&touched) {
+            state.touched.push(touched);
+        }
         let known = state
             .uses
             .iter_mut()
             .find(|known| known.name == *adapter && known.model == *model);
         match known {
-            Some(known) => known.calls += 1,
-            None => state.uses.push(AdapterUse {
-                model: model.clone(),
-                name: adapter.clone(),
-                calls: 1,
-            }),
+            Some(known) => {
+                known.calls += 1;
+                false
+            }
+            None => {
+                state.uses.push(AdapterUse {
+                    model: model.clone(),
+                    name: adapter.clone(),
+                    calls: 1,
+                });
+                true
+            }
         }
     }
 
@@ -484,14 +501,34 @@
         }
     }
 
-    /// Returns what the entry tells the agent of an endpoint.
-    pub fn usage(&self, entry: &str, id: &EndpointId) -> UsageReport {
-        let state = self.endpoints.get(id);
-        UsageReport {
+    /// Returns what the entry tells the agent of an endpoint: the adapters that its calls use, and
+    /// those that they used since the last time.
+    pub fn take_usage(&mut self, entry: &str, id: &EndpointId) -> UsageReport {
+        let mut report = UsageReport {
             entry: entry.to_owned(),
             endpoint: id.clone(),
-            uses: state.map(|state| state.uses.clone()).unwrap_or_default(),
-            calls: state.map_or(0, |state| state.calls),
+            uses: Vec::new(),
+            calls: 0,
+        };
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return report;
+        };
+        report.uses.clone_from(&state.uses);
+        report.calls = state.calls;
+        for (model, name) in state.touched.drain(..) {
+            let listed = report
+                .uses
+                .iter()
+                .any(|used| used.name == name && used.model == model);
+            if !listed {
+                let ended = AdapterUse {
+                    model,
+                    name,
+                    calls: 0,
+                };
+                report.uses.push(ended);
+            }
         }
+        report
     }
 }
--- a/crates/amaranth-dispatch/src/engine_placer.rs
+++ b/crates/amaranth-dispatch/src/engine_placer.rs
@@ -117,6 +117,8 @@
     pub objective: Duration,
     /// The time that the call has spent already.
     pub spent: Duration,
+    /// How long a load from the weight store waits before it may start.
+    pub load_wait: Duration,
 }
 
 /// Returns the key under which an adapter and its prompt parts are kept.
@@ -150,8 +152,9 @@
         };
         let tokens = state.estimate.unread_tokens(query.need, key);
         let travel = if near { Duration::ZERO } else { ABROAD_TIME };
-        let first_event =
-            state.estimate.first_event(now, tokens, batch_size(state)) + load_time(reason) + travel;
+        let first_event = state.estimate.first_event(now, tokens, batch_size(state))
+            + load_time(reason, query.load_wait)
+            + travel;
         let earned = expected_worth(query.spent + first_event, query.objective)
             - load_price(reason, rank)
             - prices(now, state, query, near);
@@ -185,12 +188,12 @@
     state.calls().max(contents.active + contents.queued)
 }
 
-const fn load_time(reason: PlaceReason) -> Duration {
+fn load_time(reason: PlaceReason, wait: Duration) -> Duration {
     match reason {
         PlaceReason::Held => Duration::ZERO,
         PlaceReason::Coming => Duration::from_millis(150),
         PlaceReason::AtHand => RELOAD_TIME,
-        PlaceReason::FreePlace => LOAD_TIME,
+        PlaceReason::FreePlace => wait + LOAD_TIME,
     }
 }
 
--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod engine_estimate;
 pub mod engine_placer;
 pub mod engine_view;
+pub mod load_gate;
 pub mod refusal;
 pub mod routes;
 pub mod service_picker;
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -18,18 +18,19 @@
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
+use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer_body::{self, AnswerBody};
 use crate::dialect::{AnswerFacts, SendTerms};
 use crate::endpoint_pool::{EndpointConnection, SendError};
-use crate::entry::EntryCore;
+use crate::entry::{EntryCore, LoadTerms};
 use crate::load_waits::LoadKey;
 use crate::send_guard::SendGuard;
 use crate::stream_relay::{self, StreamSource};
 
-/// Part of the objective for which a call waits for an adapter before it is placed anew.
-const LOAD_PATIENCE_PART: f64 = 0.7;
+/// Time for which a call waits for an adapter before it is placed anew, in objectives.
+const LOAD_PATIENCE_OBJECTIVES: u32 = 2;
 
 /// Placements of one call before it is refused.
 const MAX_PLACEMENTS: u32 = 4;
@@ -335,6 +336,7 @@
     engine: &EngineRule,
 ) -> Result<ChosenEndpoint, Refusal> {
     let mut outcome = LoadOutcome::Unavailable;
+    let mut excluded: SmallVec<[EndpointId; 4]> = history.tried().iter().cloned().collect();
     for _ in 0..MAX_PLACEMENTS {
         let (choice, address, version) = {
             let now = core.now();
@@ -348,9 +350,10 @@
                 engine,
                 need,
                 version,
-                excluded: history.tried(),
+                excluded: &excluded,
                 objective: call.route.objective,
                 spent: call.arrived.elapsed(),
+                load_wait: state.gate.expected_wait(),
             };
             let locality = &core.options.locality;
             let choice = engine_placer::place(now, &state.book, locality, query);
@@ -388,13 +391,18 @@
                 adapter: need.adapter.clone(),
                 version,
             };
-            let patience = call
-                .route
-                .objective
-                .mul_f64(LOAD_PATIENCE_PART)
-                .min(call.time_left(core));
-            outcome = core.load(key, address, engine, patience).await;
+            let terms = LoadTerms {
+                patience: (call.route.objective * LOAD_PATIENCE_OBJECTIVES)
+                    .min(call.time_left(core)),
+                from_store: choice.reason == PlaceReason::FreePlace,
+                rank: call.route.priority,
+            };
+            outcome = core.load(key, address, engine, terms).await;
             if outcome != LoadOutcome::Held {
+                // A load that is only slow goes on, and is still the soonest.
+                if outcome != LoadOutcome::TimedOut {
+                    excluded.push(choice.endpoint);
+                }
                 continue;
             }
         }
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -1,6 +1,6 @@
 //! An entry: what it knows, and the tasks that keep it up to date.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -14,11 +14,12 @@
 };
 use amaranth_dispatch::engine_placer::Locality;
 use amaranth_dispatch::engine_view::{LoadOutcome, LoadWish};
+use amaranth_dispatch::load_gate::{LoadGate, LoadTicket};
 use amaranth_dispatch::routes::{ConfigKeeper, ConfigStep, EngineRule, RouteTable, RoutingConfig};
 use amaranth_dispatch::version_book::VersionBook;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{interval, sleep};
+use tokio::time::{interval, sleep, timeout};
 
 use crate::agent_link::AgentLinks;
 use crate::dialect::CallDialect;
@@ -47,6 +48,9 @@
 /// Least time between two exchanges with an agent.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(40);
 
+/// A revision that no view has: the agent answers at once.
+const UNSEEN_REVISION: u64 = u64::MAX;
+
 /// Pause after an agent gave no answer.
 const AGENT_PAUSE: Duration = Duration::from_millis(700);
 
@@ -106,7 +110,32 @@
     pub book: EndpointBook,
     /// The entry's part of the retry budget.
     pub budget: RetryBudget,
+    /// The loads from the weight store that the entry has under way.
+    pub gate: LoadGate,
     registry_known: bool,
+    turns: HashMap<LoadTicket, oneshot::Sender<()>>,
+}
+
+impl EntryState {
+    fn grant_turns(&mut self) {
+        while let Some(ticket) = self.gate.grant() {
+            if let Some(turn) = self.turns.remove(&ticket) {
+                // The receiver lives until its turn is withdrawn.
+                let _ = turn.send(());
+            }
+        }
+    }
+}
+
+/// How a load is made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LoadTerms {
+    /// How long callers wait for it.
+    pub patience: Duration,
+    /// Whether it needs the weight store.
+    pub from_store: bool,
+    /// The rank of the call that needs it, 0 being the most urgent.
+    pub rank: u8,
 }
 
 /// What the tasks of an entry share.
@@ -126,6 +155,8 @@
     clock: SuspendClock,
     state: Mutex<EntryState>,
     changed: Notify,
+    begun_uses: Mutex<BTreeSet<EndpointId>>,
+    use_begun: Notify,
 }
 
 impl std::fmt::Debug for EntryCore {
@@ -154,9 +185,13 @@
                 versions: VersionBook::default(),
                 book: EndpointBook::default(),
                 budget,
+                gate: LoadGate::default(),
                 registry_known: false,
+                turns: HashMap::new(),
             }),
             changed: Notify::new(),
+            begun_uses: Mutex::default(),
+            use_begun: Notify::new(),
         })
     }
 
@@ -180,6 +215,25 @@
         self.changed.notified().await;
     }
 
+    /// Has the agent of an endpoint hear at once that an adapter there is in use.
+    pub fn announce_use(&self, id: &EndpointId) {
+        let mut begun = self
+            .begun_uses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        begun.insert(id.clone());
+        drop(begun);
+        self.use_begun.notify_one();
+    }
+
+    fn take_begun_uses(&self) -> BTreeSet<EndpointId> {
+        let mut begun = self
+            .begun_uses
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *begun)
+    }
+
     /// Takes records of the operator.
     pub fn take_config(&self, event: FeedEvent<ConfigRecord>) {
         let (FeedEvent::Whole(records) | FeedEvent::Changes(records)) = event;
@@ -252,29 +306,69 @@
     }
 
     /// Asks the agent of an engine that it hold something, and waits for it. Calls that need the
-    /// same share one wish.
+    /// same share one wish. One that needs the weight store waits for its turn.
     pub async fn load(
         self: &Arc<Self>,
         key: LoadKey,
         address: SocketAddr,
         engine: &EngineRule,
-        patience: Duration,
+        terms: LoadTerms,
     ) -> LoadOutcome {
-        let wish = load_wish(&key, engine, patience);
+        let wish = load_wish(&key, engine, terms.patience);
         let core = Arc::clone(self);
         self.loads
             .wait(key.clone(), || async move {
-                core.ask_agent(key, address, wish).await
+                if terms.from_store {
+                    core.load_in_turn(key, address, wish, terms.rank).await
+                } else {
+                    core.ask_agent(key, address, wish).await
+                }
             })
             .await
     }
 
+    async fn load_in_turn(
+        &self,
+        key: LoadKey,
+        address: SocketAddr,
+        wish: LoadWish,
+        rank: u8,
+    ) -> LoadOutcome {
+        let (turn, granted) = oneshot::channel();
+        let patience = wish.patience;
+        let ticket = {
+            let mut state = self.state();
+            let ticket = state.gate.ask(rank);
+            state.turns.insert(ticket, turn);
+            state.grant_turns();
+            ticket
+        };
+        if timeout(patience, granted).await.is_err() {
+            let mut state = self.state();
+            state.turns.remove(&ticket);
+            if state.gate.withdraw(ticket) {
+                return LoadOutcome::TimedOut;
+            }
+        }
+        let started = self.now();
+        let outcome = self.ask_agent(key, address, wish).await;
+        let now = self.now();
+        let took = (outcome == LoadOutcome::Held).then(|| now.since(started));
+        let mut state = self.state();
+        state.gate.ended(now, took);
+        state.grant_turns();
+        outcome
+    }
+
     async fn ask_agent(&self, key: LoadKey, address: SocketAddr, wish: LoadWish) -> LoadOutcome {
         let wished = wished_adapter(&key);
         if let Some(wished) = &wished {
             self.state().book.begin_wish(&key.endpoint, wished.clone());
         }
-        let usage = self.state().book.usage(&self.options.name, &key.endpoint);
+        let usage = self
+            .state()
+            .book
+            .take_usage(&self.options.name, &key.endpoint);
         let agent = SocketAddr::new(address.ip(), self.options.agent_port);
         let started = self.now();
         let answer = self.agents.prepare(agent, usage, wish).await;
@@ -412,6 +506,7 @@
         }),
         tokio::spawn(keep_house(Arc::clone(core))),
         tokio::spawn(watch_engines(Arc::clone(core))),
+        tokio::spawn(announce_uses(Arc::clone(core))),
     ];
     EntryTasks { tasks }
 }
@@ -457,6 +552,50 @@
     }
 }
 
+/// Tells agents of adapters whose use began, so that they are not given up.
+async fn announce_uses(core: Arc<EntryCore>) {
+    loop {
+        core.use_begun.notified().await;
+        for id in core.take_begun_uses() {
+            let core = Arc::clone(&core);
+            tokio::spawn(async move { announce_use(core, id).await });
+        }
+    }
+}
+
+async fn announce_use(core: Arc<EntryCore>, id: EndpointId) {
+    let (usage, address) = {
+        let mut state = core.state();
+        let Some(endpoint) = state.book.get(&id) else {
+            return;
+        };
+        let address = endpoint.record.address;
+        (state.book.take_usage(&core.options.name, &id), address)
+    };
+    let agent = SocketAddr::new(address.ip(), core.options.agent_port);
+    let told = core
+        .agents
+        .exchange(agent, usage, UNSEEN_REVISION, Duration::ZERO)
+        .await;
+    match told {
+        Ok(view) if is_near(&core, &id) => {
+            let now = core.now();
+            core.state().book.take_view(now, &id, view);
+        }
+        Ok(_) => {}
+        // The exchange that is always under way logs what is lost.
+        Err(error) => log::debug!("event=use_not_announced endpoint={id} error={error}"),
+    }
+}
+
+fn is_near(core: &EntryCore, id: &EndpointId) -> bool {
+    let state = core.state();
+    state
+        .book
+        .get(id)
+        .is_some_and(|endpoint| core.options.locality.is_near(&endpoint.record.data_centre))
+}
+
 fn near_engines(core: &EntryCore) -> Vec<(EndpointId, SocketAddr)> {
     let state = core.state();
     let Some(table) = state.config.current() else {
@@ -484,11 +623,11 @@
     let mut wait = Duration::ZERO;
     loop {
         let usage = {
-            let state = core.state();
+            let mut state = core.state();
             if state.book.get(id).is_none() {
                 return;
             }
-            state.book.usage(&core.options.name, id)
+            state.book.take_usage(&core.options.name, id)
         };
         match core.agents.exchange(agent, usage, seen, wait).await {
             Ok(view) => {
@@ -554,6 +693,11 @@
     };
     let core = Arc::clone(core);
     tokio::spawn(async move {
-        core.load(key, address, &engine, MODEL_PATIENCE).await;
+        let terms = LoadTerms {
+            patience: MODEL_PATIENCE,
+            from_store: false,
+            rank: 0,
+        };
+        core.load(key, address, &engine, terms).await;
     });
 }
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -28,7 +28,10 @@
         need: Option<Arc<GenerationNeed>>,
     ) -> Self {
         let used = need.as_deref().and_then(used_adapter);
-        core.state().book.begin_call(&endpoint, used);
+        let begins = core.state().book.begin_call(&endpoint, used);
+        if begins {
+            core.announce_use(&endpoint);
+        }
         Self {
             core,
             endpoint,
