--- a/crates/amaranth-dispatch/src/adapter_shelf.rs
+++ b/crates/amaranth-dispatch/src/adapter_shelf.rs
@@ -26,7 +26,7 @@
 const REFUSED_PAUSE: Duration = Duration::from_millis(40);
 
 /// Time after an order without an answer before the next one.
-const UNANSWERED_PAUSE: Duration = Duration::from_millis(100);
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(5);
 
 /// Time for which a freshly loaded adapter is not given up: the calls that wanted it are on their
 /// way.
