Watch the agents of all regions, and wait in line for a place

Calls without a place wait in line by rank; engines abroad are watched at a relaxed pace and load too.

--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod engine_placer;
 pub mod engine_view;
 pub mod load_gate;
+pub mod place_line;
 pub mod refusal;
 pub mod routes;
 pub mod service_picker;
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -8,9 +8,10 @@
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
 use amaranth_dispatch::call::{CallHead, GenerationNeed};
-use amaranth_dispatch::endpoint_book::EndpointOutcome;
-use amaranth_dispatch::engine_placer::{self, PlaceQuery, PlaceReason};
+use amaranth_dispatch::endpoint_book::{EndpointOutcome, EndpointState};
+use amaranth_dispatch::engine_placer::{self, EngineChoice, PlaceQuery, PlaceReason};
 use amaranth_dispatch::engine_view::LoadOutcome;
+use amaranth_dispatch::place_line::LinePosition;
 use amaranth_dispatch::refusal::{Refusal, RefusalCause};
 use amaranth_dispatch::routes::{EngineRule, RouteKind, RouteRule};
 use amaranth_dispatch::service_picker;
@@ -32,6 +33,12 @@
 /// Time for which a call waits for an adapter before it is placed anew, in objectives.
 const LOAD_PATIENCE_OBJECTIVES: u32 = 2;
 
+/// Part of the objective for which a call waits for a place at an engine.
+const PLACE_PATIENCE_PART: f64 = 0.6;
+
+/// Time after which a call in line looks again, without news.
+const LINE_INTERVAL: Duration = Duration::from_millis(80);
+
 /// Placements of one call before it is refused.
 const MAX_PLACEMENTS: u32 = 4;
 
@@ -338,40 +345,12 @@
     let mut outcome = LoadOutcome::Unavailable;
     let mut excluded: SmallVec<[EndpointId; 4]> = history.tried().iter().cloned().collect();
     for _ in 0..MAX_PLACEMENTS {
-        let (choice, address, version) = {
-            let now = core.now();
-            let state = core.state();
-            let version = need
-                .adapter
-                .as_ref()
-                .and_then(|adapter| state.versions.newest(&need.model, adapter));
-            let query = PlaceQuery {
-                service: &call.service,
-                engine,
-                need,
-                version,
-                excluded: &excluded,
-                objective: call.route.objective,
-                spent: call.arrived.elapsed(),
-                load_wait: state.gate.expected_wait(),
-            };
-            let locality = &core.options.locality;
-            let choice = engine_placer::place(now, &state.book, locality, query);
-            let address = choice
-                .as_ref()
-                .and_then(|choice| state.book.get(&choice.endpoint))
-                .map(|known| known.record.address);
-            (choice, address, version)
-        };
-        let (Some(choice), Some(address)) = (choice, address) else {
-            if !wait_for_change(core, call).await {
-                return Err(Refusal::after(
-                    RefusalCause::NoEndpoint,
-                    DEFAULT_RETRY_AFTER,
-                ));
-            }
-            continue;
-        };
+        let placed = place_in_line(core, call, need, engine, &excluded).await?;
+        let PlacedCall {
+            choice,
+            address,
+            version,
+        } = placed;
         if choice.first_event > call.time_left(core) {
             let delay = choice.first_event.saturating_sub(call.route.objective);
             return Err(Refusal::after(
@@ -406,6 +385,10 @@
                 continue;
             }
         }
+        if !is_open(core, &choice.endpoint) {
+            // It began to leave while the call waited for the load.
+            continue;
+        }
         return Ok(ChosenEndpoint {
             address,
             guard,
@@ -422,12 +405,103 @@
     ))
 }
 
-/// Waits for a short time until more is known of engines; returns whether it is worth looking.
-async fn wait_for_change(core: &EntryCore, call: &Call) -> bool {
-    /// Time that a call waits where no engine can take it.
-    const NO_ENGINE_WAIT: Duration = Duration::from_millis(100);
-    let until = (Instant::now() + NO_ENGINE_WAIT).min(call.expires);
-    timeout_at(until, core.changed()).await.is_ok()
+/// Returns whether an endpoint still takes calls.
+fn is_open(core: &EntryCore, endpoint: &EndpointId) -> bool {
+    let state = core.state();
+    state.book.get(endpoint).is_some_and(EndpointState::is_open)
+}
+
+/// An engine that was chosen for a call.
+#[derive(Debug)]
+struct PlacedCall {
+    choice: EngineChoice,
+    address: SocketAddr,
+    version: Option<u64>,
+}
+
+/// A call's stay in the line for a place.
+struct LineStay<'a> {
+    core: &'a EntryCore,
+    position: LinePosition,
+}
+
+impl Drop for LineStay<'_> {
+    fn drop(&mut self) {
+        self.core.state().line.leave(self.position);
+    }
+}
+
+/// Chooses an engine; a call for which there is no place waits in line for a part of its
+/// objective.
+async fn place_in_line(
+    core: &Arc<EntryCore>,
+    call: &Call,
+    need: &GenerationNeed,
+    engine: &EngineRule,
+    excluded: &[EndpointId],
+) -> Result<PlacedCall, Refusal> {
+    let taken = core.state().line.is_taken(call.route.priority);
+    if !taken && let Some(placed) = place(core, call, need, engine, excluded) {
+        return Ok(placed);
+    }
+    let position = core.state().line.join(call.route.priority);
+    let stay = LineStay { core, position };
+    let patience = call.route.objective.mul_f64(PLACE_PATIENCE_PART);
+    let until = (Instant::now() + patience).min(call.expires);
+    while Instant::now() < until {
+        let changed = core.changed();
+        let wait = (Instant::now() + LINE_INTERVAL).min(until);
+        // Engines' estimates change with time too, so that nobody waits for news alone.
+        let _ = timeout_at(wait, changed).await;
+        if !core.state().line.may_try(stay.position) {
+            continue;
+        }
+        if let Some(placed) = place(core, call, need, engine, excluded) {
+            return Ok(placed);
+        }
+    }
+    let waiting = core.state().line.len();
+    log::info!(
+        "event=no_place id={} waited_ms={} line={waiting}",
+        call.head.id,
+        patience.as_millis()
+    );
+    Err(Refusal::after(
+        RefusalCause::AdapterWait,
+        DEFAULT_RETRY_AFTER,
+    ))
+}
+
+fn place(
+    core: &EntryCore,
+    call: &Call,
+    need: &GenerationNeed,
+    engine: &EngineRule,
+    excluded: &[EndpointId],
+) -> Option<PlacedCall> {
+    let now = core.now();
+    let state = core.state();
+    let version = need
+        .adapter
+        .as_ref()
+        .and_then(|adapter| state.versions.newest(&need.model, adapter));
+    let query = PlaceQuery {
+        service: &call.service,
+        engine,
+        need,
+        version,
+        excluded,
+        objective: call.route.objective,
+        spent: call.arrived.elapsed(),
+        load_wait: state.gate.expected_wait(),
+    };
+    let choice = engine_placer::place(now, &state.book, &core.options.locality, query)?;
+    let address = state.book.get(&choice.endpoint)?.record.address;
+    Some(PlacedCall {
+        choice,
+        address,
+        version,
+    })
 }
 
 /// Sends a call to an endpoint and returns the head of a successful answer.
@@ -450,6 +524,16 @@
             return Err(FailedSend::plain(SendFailure::NotSent));
         }
     };
+    let late = call.time_left(core) < LEAST_TIME_LEFT;
+    if late || !is_open(core, guard.endpoint()) {
+        let cause = if late { "time-over" } else { "endpoint-leaves" };
+        log::info!(
+            "event=not_sent id={} endpoint={} cause={cause}",
+            call.head.id,
+            guard.endpoint()
+        );
+        return Err(FailedSend::plain(SendFailure::NotSent));
+    }
     let request = write_request(
         core,
         call,
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -15,6 +15,7 @@
 use amaranth_dispatch::engine_placer::Locality;
 use amaranth_dispatch::engine_view::{LoadOutcome, LoadWish};
 use amaranth_dispatch::load_gate::{LoadGate, LoadTicket};
+use amaranth_dispatch::place_line::PlaceLine;
 use amaranth_dispatch::routes::{ConfigKeeper, ConfigStep, EngineRule, RouteTable, RoutingConfig};
 use amaranth_dispatch::version_book::VersionBook;
 use tokio::sync::{Notify, oneshot};
@@ -51,6 +52,12 @@
 /// A revision that no view has: the agent answers at once.
 const UNSEEN_REVISION: u64 = u64::MAX;
 
+/// The time for which an agent in another region waits before it answers an exchange.
+const FAR_EXCHANGE_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Least time between two exchanges with an agent in another region: their bytes have a price.
+const FAR_EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Pause after an agent gave no answer.
 const AGENT_PAUSE: Duration = Duration::from_millis(700);
 
@@ -112,6 +119,8 @@
     pub budget: RetryBudget,
     /// The loads from the weight store that the entry has under way.
     pub gate: LoadGate,
+    /// The calls that wait for a place at an engine.
+    pub line: PlaceLine,
     registry_known: bool,
     turns: HashMap<LoadTicket, oneshot::Sender<()>>,
 }
@@ -186,6 +195,7 @@
                 book: EndpointBook::default(),
                 budget,
                 gate: LoadGate::default(),
+                line: PlaceLine::default(),
                 registry_known: false,
                 turns: HashMap::new(),
             }),
@@ -215,6 +225,11 @@
         self.changed.notified().await;
     }
 
+    /// Wakes the calls that wait for a place.
+    pub fn note_change(&self) {
+        self.changed.notify_waiters();
+    }
+
     /// Has the agent of an endpoint hear at once that an adapter there is in use.
     pub fn announce_use(&self, id: &EndpointId) {
         let mut begun = self
@@ -525,7 +540,7 @@
     }
 }
 
-/// Keeps one exchange going with the agent of each engine in the entry's region.
+/// Keeps one exchange going with the agent of each engine.
 async fn watch_engines(core: Arc<EntryCore>) {
     let mut watched: HashSet<EndpointId> = HashSet::new();
     let (ended, mut endings) = tokio::sync::mpsc::unbounded_channel::<EndpointId>();
@@ -538,7 +553,7 @@
                 continue;
             }
         }
-        for (id, address) in near_engines(&core) {
+        for (id, address) in engines(&core) {
             if watched.insert(id.clone()) {
                 let core = Arc::clone(&core);
                 let ended = ended.clone();
@@ -578,11 +593,10 @@
         .exchange(agent, usage, UNSEEN_REVISION, Duration::ZERO)
         .await;
     match told {
-        Ok(view) if is_near(&core, &id) => {
+        Ok(view) => {
             let now = core.now();
             core.state().book.take_view(now, &id, view);
         }
-        Ok(_) => {}
         // The exchange that is always under way logs what is lost.
         Err(error) => log::debug!("event=use_not_announced endpoint={id} error={error}"),
     }
@@ -596,7 +610,7 @@
         .is_some_and(|endpoint| core.options.locality.is_near(&endpoint.record.data_centre))
 }
 
-fn near_engines(core: &EntryCore) -> Vec<(EndpointId, SocketAddr)> {
+fn engines(core: &EntryCore) -> Vec<(EndpointId, SocketAddr)> {
     let state = core.state();
     let Some(table) = state.config.current() else {
         return Vec::new();
@@ -609,7 +623,6 @@
     state
         .book
         .iter()
-        .filter(|endpoint| core.options.locality.is_near(&endpoint.record.data_centre))
         .filter(is_engine)
         .map(|endpoint| (endpoint.record.id.clone(), endpoint.record.address))
         .collect()
@@ -618,6 +631,12 @@
 /// Exchanges use and contents with the agent of one engine until the engine is gone.
 async fn watch_engine(core: Arc<EntryCore>, id: &EndpointId, address: SocketAddr) {
     let agent = SocketAddr::new(address.ip(), core.options.agent_port);
+    let near = is_near(&core, id);
+    let interval = if near {
+        EXCHANGE_INTERVAL
+    } else {
+        FAR_EXCHANGE_INTERVAL
+    };
     let mut seen = 0;
     let mut silent = false;
     let mut wait = Duration::ZERO;
@@ -635,21 +654,17 @@
                     log::info!("event=dependency_regained agent={agent} endpoint={id}");
                 }
                 seen = view.revision;
-                wait = if view.waiting_loads > 0 {
-                    PRESSED_EXCHANGE_WAIT
-                } else {
-                    EXCHANGE_WAIT
-                };
+                wait = exchange_wait(near, &view);
                 let empty = view.contents.cache_total > 0
                     && view.contents.models.is_empty()
                     && !view.contents.busy;
                 let now = core.now();
                 core.state().book.take_view(now, id, view);
                 core.changed.notify_waiters();
-                if empty {
+                if empty && near {
                     fill_engine(&core, id, address);
                 }
-                sleep(EXCHANGE_INTERVAL).await;
+                sleep(interval).await;
             }
             Err(error) => {
                 if !std::mem::replace(&mut silent, true) {
@@ -664,6 +679,14 @@
     }
 }
 
+fn exchange_wait(near: bool, view: &amaranth_dispatch::engine_view::EngineView) -> Duration {
+    match (near, view.waiting_loads) {
+        (false, _) => FAR_EXCHANGE_WAIT,
+        (true, 0) => EXCHANGE_WAIT,
+        (true, _) => PRESSED_EXCHANGE_WAIT,
+    }
+}
+
 /// Asks the agent of an empty engine to load the service's first model.
 fn fill_engine(core: &Arc<EntryCore>, id: &EndpointId, address: SocketAddr) {
     let state = core.state();
