Serve during a stop what ends in time, and leave silent engines

A stopping entry now takes what surely ends in time and sends the rest away with a time to come back; calls that may be repeated leave an engine that sends nothing to anybody.

Tests of the decisions and of the relay on loopback come with it.

--- a/crates/amaranth-dispatch/src/attempts.rs
+++ b/crates/amaranth-dispatch/src/attempts.rs
@@ -70,6 +70,14 @@
         self.uncertain || self.runs > 0
     }
 
+    /// Returns whether a call that was sent may be given up there and be sent to another endpoint.
+    pub fn may_move(&self, route: &RouteRule, budget: &RetryBudget) -> bool {
+        route.is_repeatable()
+            && self.runs + 1 < route.max_attempts
+            && self.sends + 1 < MAX_SENDS
+            && budget.saved() > 0
+    }
+
     /// Notes a failed send and decides what follows. `budget` is asked only where the endpoint
     /// saw the call.
     pub fn after_failure(
--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -36,6 +36,9 @@
 /// that was expected.
 const SILENCE_FACTOR: u32 = 3;
 
+/// Time without an event of any running stream after which an engine counts as silent.
+const RUNNING_SILENCE: Duration = Duration::from_millis(1_000);
+
 /// A prompt that was sent and whose first event has not come.
 #[derive(Debug, Clone, Copy)]
 struct UnreadPrompt {
@@ -68,6 +71,7 @@
     pace_at: Timestamp,
     parts: Vec<(u64, Timestamp)>,
     heard_at: Timestamp,
+    running: u32,
 }
 
 impl Default for EngineEstimate {
@@ -79,6 +83,7 @@
             pace_at: Timestamp::ZERO,
             parts: Vec::new(),
             heard_at: Timestamp::ZERO,
+            running: 0,
         }
     }
 }
@@ -90,13 +95,24 @@
         1.0 + (self.pace - 1.0) * (-age / PACE_HALF_LIFE_S).exp2()
     }
 
-    /// Returns whether the engine owes a first event for much longer than was expected, and has
-    /// sent none since.
+    /// Returns whether the engine has sent nothing for much longer than was expected, though it
+    /// owes a first event or runs a stream.
     pub fn is_silent(&self, now: Timestamp) -> bool {
-        self.unread.iter().any(|prompt| {
+        let owes = self.unread.iter().any(|prompt| {
             let limit = (prompt.expected * SILENCE_FACTOR).max(LEAST_SILENCE);
             prompt.sent_at >= self.heard_at && now.since(prompt.sent_at) > limit
-        })
+        });
+        owes || (self.running > 0 && now.since(self.heard_at) > RUNNING_SILENCE)
+    }
+
+    /// Notes that an event of some stream came.
+    pub const fn heard(&mut self, now: Timestamp) {
+        self.heard_at = now;
+    }
+
+    /// Notes that a stream whose first event came has ended.
+    pub const fn stream_ended(&mut self) {
+        self.running = self.running.saturating_sub(1);
     }
 
     /// Returns the tokens that were sent and, by the pace of reading, are not read yet.
@@ -166,6 +182,7 @@
             return;
         };
         self.heard_at = now;
+        self.running += 1;
         let took = now.since(self.unread[position].sent_at).as_secs_f64();
         self.unread.remove(position);
         let pace = self.pace(now);
--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod refusal;
 pub mod routes;
 pub mod service_picker;
+pub mod stop_policy;
 pub mod version_book;
--- a/crates/amaranth-dispatch/src/refusal.rs
+++ b/crates/amaranth-dispatch/src/refusal.rs
@@ -16,6 +16,8 @@
     NoRoute,
     /// No configuration is known yet.
     NoConfig,
+    /// The process is stopping, and the call would not end before it does.
+    Stopping,
     /// No endpoint of the service can be used.
     NoEndpoint,
     /// The adapter could not be made ready in time.
@@ -38,6 +40,7 @@
             Self::BodyTooLarge => 413,
             Self::NoRoute => 404,
             Self::NoConfig
+            | Self::Stopping
             | Self::NoEndpoint
             | Self::AdapterWait
             | Self::Overloaded
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -1,5 +1,6 @@
 //! The life of one call: read, routed, sent, answered.
 
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use amaranth_dispatch::refusal::{Refusal, RefusalCause};
 use amaranth_dispatch::routes::{EngineRule, RouteKind, RouteRule};
 use amaranth_dispatch::service_picker;
+use amaranth_dispatch::stop_policy::ExpectedCall;
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full, Limited};
@@ -48,6 +50,9 @@
 /// Largest body of an answer that is not a stream, in bytes.
 const MAX_WHOLE_ANSWER: usize = 16 << 20;
 
+/// Time after which a call that waits for an answer looks whether its engine has fallen silent.
+pub const SILENCE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Least time left for which a call is still sent.
 const LEAST_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -187,6 +192,9 @@
     let Some(service) = route.service_for(head.id.as_str()).cloned() else {
         return Err((head, Refusal::new(RefusalCause::NoRoute)));
     };
+    if let Some(refusal) = refuse_when_stopping(core, &head, &route) {
+        return Err((head, refusal));
+    }
     let limit = table.limits().body_bytes;
     let body = match Limited::new(body, limit).collect().await {
         Ok(collected) => collected.to_bytes(),
@@ -222,6 +230,25 @@
     })
 }
 
+/// Refuses a call that would not end before the process does.
+fn refuse_when_stopping(core: &EntryCore, head: &CallHead, route: &RouteRule) -> Option<Refusal> {
+    let now = core.now();
+    let policy = core.state().stopping?;
+    let expected = ExpectedCall {
+        objective: route.objective,
+        tokens: head
+            .generation
+            .as_ref()
+            .map_or(0, GenerationNeed::expected_output),
+        most_tokens: head.generation.as_ref().map_or(0, |need| need.output_limit),
+    };
+    if policy.takes(now, expected) {
+        return None;
+    }
+    let delay = policy.retry_after(now);
+    Some(Refusal::after(RefusalCause::Stopping, delay))
+}
+
 /// Sends a call until an endpoint answers it or nothing more may be tried.
 async fn relay(core: Arc<EntryCore>, call: Arc<Call>) -> Response<AnswerBody> {
     let mut history = AttemptHistory::default();
@@ -234,7 +261,11 @@
         };
         record.endpoint = Some(chosen.guard.endpoint().clone());
         let endpoint = chosen.guard.endpoint().clone();
-        let failed = match send(&core, &call, chosen, call.head.resume_after).await {
+        let terms = SendLimits {
+            resume_after: call.head.resume_after,
+            may_move: history.may_move(&call.route, &core.state().budget),
+        };
+        let failed = match send(&core, &call, chosen, terms).await {
             Ok(open) if open.facts.is_event_stream => {
                 let source = StreamSource::open(open);
                 match stream_relay::begin(&core, &call, source, &mut history).await {
@@ -504,12 +535,21 @@
     })
 }
 
+/// How a call is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SendLimits {
+    /// The last event that the caller has of the stream.
+    pub resume_after: Option<u64>,
+    /// Whether the call may be given up at a silent engine and be sent to another.
+    pub may_move: bool,
+}
+
 /// Sends a call to an endpoint and returns the head of a successful answer.
 pub async fn send(
     core: &Arc<EntryCore>,
     call: &Call,
     chosen: ChosenEndpoint,
-    resume_after: Option<u64>,
+    limits: SendLimits,
 ) -> Result<OpenAnswer, FailedSend> {
     let mut guard = chosen.guard;
     let mut connection = match core.pool.connect(chosen.address).await {
@@ -539,13 +579,13 @@
         call,
         guard.endpoint(),
         chosen.adapter_version,
-        resume_after,
+        limits.resume_after,
     );
     guard.prompt_sent();
-    let sent = timeout_at(call.expires, connection.send(request)).await;
-    let response = match sent {
-        Ok(Ok(response)) => response,
-        Ok(Err(error)) => {
+    let sending = connection.send(request);
+    let response = match wait_for_head(call, &guard, limits.may_move, sending).await {
+        HeadWait::Came(Ok(response)) => response,
+        HeadWait::Came(Err(error)) => {
             let failure = match error {
                 SendError::NotConnected(_) | SendError::NotSent => SendFailure::NotSent,
                 SendError::Ambiguous(_) => SendFailure::Ambiguous,
@@ -560,7 +600,16 @@
             );
             return Err(FailedSend::plain(failure));
         }
-        Err(_) => {
+        HeadWait::Silent => {
+            log::info!(
+                "event=engine_silent id={} endpoint={} action=move",
+                call.head.id,
+                guard.endpoint()
+            );
+            guard.conclude(EndpointOutcome::Failed);
+            return Err(FailedSend::plain(SendFailure::Ambiguous));
+        }
+        HeadWait::TimeOver => {
             guard.conclude(EndpointOutcome::Failed);
             return Err(FailedSend::plain(SendFailure::Ambiguous));
         }
@@ -568,6 +617,34 @@
     classify(core, call, response, connection, guard).await
 }
 
+/// What came of waiting for the head of an answer.
+enum HeadWait {
+    Came(Result<Response<Incoming>, SendError>),
+    Silent,
+    TimeOver,
+}
+
+async fn wait_for_head(
+    call: &Call,
+    guard: &SendGuard,
+    may_move: bool,
+    sending: impl Future<Output = Result<Response<Incoming>, SendError>>,
+) -> HeadWait {
+    tokio::pin!(sending);
+    loop {
+        let look = (Instant::now() + SILENCE_INTERVAL).min(call.expires);
+        if let Ok(came) = timeout_at(look, sending.as_mut()).await {
+            return HeadWait::Came(came);
+        }
+        if Instant::now() >= call.expires {
+            return HeadWait::TimeOver;
+        }
+        if may_move && guard.is_silent() {
+            return HeadWait::Silent;
+        }
+    }
+}
+
 fn write_request(
     core: &EntryCore,
     call: &Call,
--- a/crates/amaranth-relay/src/caller_server.rs
+++ b/crates/amaranth-relay/src/caller_server.rs
@@ -93,10 +93,16 @@
         self.open.load(Ordering::Relaxed)
     }
 
-    /// Stops listening for callers and closes each connection after the answer it waits for.
+    /// Closes each connection after the answer it waits for. New ones are still accepted, for one
+    /// call each.
+    pub fn close_kept(&self) {
+        self.stop.send_replace(true);
+    }
+
+    /// Stops listening for callers.
     pub fn close(&self) {
+        self.close_kept();
         self.accepting.abort();
-        self.stop.send_replace(true);
     }
 }
 
@@ -169,9 +175,11 @@
         let core = Arc::clone(&core);
         async move { Ok::<_, Infallible>(call_task::answer(core, request).await) }
     });
+    let for_one_call = *stopping.borrow();
     let connection = Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
+        .keep_alive(!for_one_call)
         .max_headers(MAX_HEADERS)
         .max_buf_size(head_bytes.max(MIN_BUFFER_BYTES))
         .preserve_header_case(true)
@@ -180,7 +188,7 @@
     tokio::pin!(connection);
     let ended = tokio::select! {
         ended = connection.as_mut() => ended,
-        () = stop_requested(&mut stopping) => {
+        () = stop_requested(&mut stopping), if !for_one_call => {
             connection.as_mut().graceful_shutdown();
             connection.await
         }
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -17,6 +17,7 @@
 use amaranth_dispatch::load_gate::{LoadGate, LoadTicket};
 use amaranth_dispatch::place_line::PlaceLine;
 use amaranth_dispatch::routes::{ConfigKeeper, ConfigStep, EngineRule, RouteTable, RoutingConfig};
+use amaranth_dispatch::stop_policy::StopPolicy;
 use amaranth_dispatch::version_book::VersionBook;
 use tokio::sync::{Notify, oneshot};
 use tokio::task::JoinHandle;
@@ -121,6 +122,8 @@
     pub gate: LoadGate,
     /// The calls that wait for a place at an engine.
     pub line: PlaceLine,
+    /// Which calls are still taken, once the process was asked to stop.
+    pub stopping: Option<StopPolicy>,
     registry_known: bool,
     turns: HashMap<LoadTicket, oneshot::Sender<()>>,
 }
@@ -196,6 +199,7 @@
                 budget,
                 gate: LoadGate::default(),
                 line: PlaceLine::default(),
+                stopping: None,
                 registry_known: false,
                 turns: HashMap::new(),
             }),
@@ -225,6 +229,13 @@
         self.changed.notified().await;
     }
 
+    /// Begins to stop: readiness ends, and only calls that end within `grace` are taken.
+    pub fn begin_stop(&self, grace: Duration) {
+        let now = self.now();
+        self.state().stopping = Some(StopPolicy::open(now, grace));
+        self.stage.advance(EntryStage::Stopping);
+    }
+
     /// Wakes the calls that wait for a place.
     pub fn note_change(&self) {
         self.changed.notify_waiters();
--- a/crates/amaranth-relay/src/event_splitter.rs
+++ b/crates/amaranth-relay/src/event_splitter.rs
@@ -25,7 +25,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     pending: BytesMut,
-    scanned: usize,
+    line_start: usize,
+    has_content: bool,
 }
 
 impl EventSplitter {
@@ -38,11 +39,20 @@
         self.pending.extend_from_slice(bytes);
         let mut end = 0;
         let mut events = 0;
-        while let Some(length) = self.find_end(end) {
-            end = length;
-            events += 1;
+        let mut line_start = self.line_start;
+        while let Some(length) = line_length(&self.pending[line_start..]) {
+            let line = &self.pending[line_start..line_start + length];
+            line_start += length;
+            // Blank lines that follow a whole event pass with it.
+            if matches!(line, b"\n" | b"\r\n") {
+                events += u32::from(self.has_content);
+                self.has_content = false;
+                end = line_start;
+            } else {
+                self.has_content = true;
+            }
         }
-        self.scanned = self.pending.len().saturating_sub(3).max(end);
+        self.line_start = line_start - end;
         if end == 0 {
             if self.pending.len() > MAX_EVENT_BYTES {
                 return Err(EventTooLong);
@@ -50,7 +60,6 @@
             return Ok(None);
         }
         let bytes = self.pending.split_to(end).freeze();
-        self.scanned -= end;
         let last_id = last_id(&bytes);
         Ok(Some(EventRun {
             bytes,
@@ -63,22 +72,13 @@
     pub fn is_within_event(&self) -> bool {
         !self.pending.is_empty()
     }
+}
 
-    /// Returns where the event that begins at or before `from` ends, blank line included.
-    fn find_end(&self, from: usize) -> Option<usize> {
-        let start = from.max(self.scanned);
-        let text = &self.pending[..];
-        let mut position = start;
-        while let Some(offset) = text.get(position..)?.iter().position(|byte| *byte == b'\n') {
-            let after = position + offset + 1;
-            match text.get(after) {
-                Some(b'\n') => return Some(after + 1),
-                Some(b'\r') if text.get(after + 1) == Some(&b'\n') => return Some(after + 2),
-                _ => position = after,
-            }
-        }
-        None
-    }
+/// Returns the length of the first line, its end included, if it is whole.
+fn line_length(text: &[u8]) -> Option<usize> {
+    text.iter()
+        .position(|byte| *byte == b'\n')
+        .map(|end| end + 1)
 }
 
 /// Returns the last `id` of a run of events.
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -17,6 +17,7 @@
     endpoint: EndpointId,
     need: Option<Arc<GenerationNeed>>,
     ticket: Option<PromptTicket>,
+    runs: bool,
     outcome: EndpointOutcome,
 }
 
@@ -37,6 +38,7 @@
             endpoint,
             need,
             ticket: None,
+            runs: false,
             outcome: EndpointOutcome::Inconclusive,
         }
     }
@@ -70,9 +72,26 @@
         if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
             let seed = need_key(&need);
             endpoint.estimate.first_event_came(now, ticket, &need, seed);
+            self.runs = true;
         }
     }
 
+    /// Notes that an event came.
+    pub fn heard(&self) {
+        let now = self.core.now();
+        if let Some(endpoint) = self.core.state().book.get_mut(&self.endpoint) {
+            endpoint.estimate.heard(now);
+        }
+    }
+
+    /// Returns whether the engine has sent nothing to any call for much longer than expected.
+    pub fn is_silent(&self) -> bool {
+        let now = self.core.now();
+        let state = self.core.state();
+        let endpoint = state.book.get(&self.endpoint);
+        endpoint.is_some_and(|endpoint| endpoint.estimate.is_silent(now))
+    }
+
     /// Notes how the call went, for the endpoint's health.
     pub const fn conclude(&mut self, outcome: EndpointOutcome) {
         self.outcome = outcome;
@@ -95,6 +114,11 @@
         if let (Some(ticket), Some(endpoint)) = (self.ticket, state.book.get_mut(&self.endpoint)) {
             endpoint.estimate.abandon(ticket);
         }
+        if self.runs
+            && let Some(endpoint) = state.book.get_mut(&self.endpoint)
+        {
+            endpoint.estimate.stream_ended();
+        }
         let used = self.need.as_deref().and_then(used_adapter);
         state.book.end_call(now, &self.endpoint, used, self.outcome);
     }
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer_body::{self, AnswerBody, AnswerBroken};
-use crate::call_task::{self, Call, FailedSend, OpenAnswer};
+use crate::call_task::{self, Call, FailedSend, OpenAnswer, SILENCE_INTERVAL, SendLimits};
 use crate::endpoint_pool::EndpointConnection;
 use crate::entry::EntryCore;
 use crate::event_splitter::{EventRun, EventSplitter};
@@ -52,10 +52,18 @@
         }
     }
 
-    async fn next(&mut self, until: Instant) -> StreamStep {
+    /// Returns what comes next until a moment. With `may_move`, a silent engine breaks the stream.
+    async fn next(&mut self, until: Instant, may_move: bool) -> StreamStep {
         loop {
-            let frame = match timeout_at(until, self.body.frame()).await {
-                Err(_) => return StreamStep::Broken("the time for the call is over".to_owned()),
+            let look = (Instant::now() + SILENCE_INTERVAL).min(until);
+            let frame = match timeout_at(look, self.body.frame()).await {
+                Err(_) if Instant::now() >= until => {
+                    return StreamStep::Broken("the time for the call is over".to_owned());
+                }
+                Err(_) if may_move && self.guard.is_silent() => {
+                    return StreamStep::Broken("the engine has fallen silent".to_owned());
+                }
+                Err(_) => continue,
                 Ok(None) if self.splitter.is_within_event() => {
                     return StreamStep::Broken("the stream ended within an event".to_owned());
                 }
@@ -67,7 +75,10 @@
                 continue;
             };
             match self.splitter.push(&data) {
-                Ok(Some(run)) => return StreamStep::Events(run),
+                Ok(Some(run)) => {
+                    self.guard.heard();
+                    return StreamStep::Events(run);
+                }
                 Ok(None) => {}
                 Err(error) => return StreamStep::Broken(error.to_string()),
             }
@@ -86,7 +97,8 @@
     mut source: StreamSource,
     history: &mut AttemptHistory,
 ) -> Result<Response<AnswerBody>, FailedSend> {
-    let first = source.next(call.expires).await;
+    let may_move = history.may_move(&call.route, &core.state().budget);
+    let first = source.next(call.expires, may_move).await;
     let (first, ended) = match first {
         StreamStep::Events(run) => (Some(run), false),
         StreamStep::Ended => (None, true),
@@ -152,8 +164,9 @@
     async fn next(&mut self) -> Option<Result<Bytes, AnswerBroken>> {
         loop {
             let until = self.call.expires + END_SLACK;
+            let may_move = self.may_move();
             let source = self.source.as_mut()?;
-            match source.next(until).await {
+            match source.next(until, may_move).await {
                 StreamStep::Events(run) => return Some(Ok(self.note(run))),
                 StreamStep::Ended => {
                     self.end();
@@ -169,6 +182,13 @@
         }
     }
 
+    fn may_move(&self) -> bool {
+        self.last_id.is_some()
+            && self
+                .history
+                .may_move(&self.call.route, &self.core.state().budget)
+    }
+
     fn note(&mut self, run: EventRun) -> Bytes {
         self.events += run.events;
         self.last_id = run.last_id.or(self.last_id);
@@ -214,7 +234,11 @@
                 .await
                 .map_err(|refusal| AnswerBroken(format!("{reason}; {}", refusal.cause)))?;
             endpoint = chosen.guard.endpoint().clone();
-            match call_task::send(&self.core, &self.call, chosen, self.last_id).await {
+            let limits = SendLimits {
+                resume_after: self.last_id,
+                may_move: self.may_move(),
+            };
+            match call_task::send(&self.core, &self.call, chosen, limits).await {
                 Ok(answer) if answer.facts.is_event_stream => {
                     let mut source = StreamSource::open(answer);
                     source.guard.first_event_came();
--- /dev/null
+++ b/crates/amaranth-relay/tests/event_splitter.rs
@@ -0,0 +1,91 @@
+//! The splitter against a naive one that looks at the whole text.
+
+use amaranth_relay::event_splitter::EventSplitter;
+use proptest::prelude::{
+    ProptestConfig, Strategy, any, prop_assert, prop_assert_eq, prop_oneof, proptest,
+};
+use proptest::test_runner::RngSeed;
+
+/// Returns the whole events at the beginning of a text, which end with a blank line.
+fn naive(text: &str) -> &str {
+    let mut end = 0;
+    let mut position = 0;
+    for line in text.split_inclusive('\n') {
+        let after_line = position + line.len();
+        let blank = matches!(line, "\n" | "\r\n");
+        if blank {
+            end = after_line;
+        }
+        position = after_line;
+    }
+    &text[..end]
+}
+
+fn texts() -> impl Strategy<Value = String> {
+    let piece = prop_oneof![
+        any::<u8>().prop_map(|id| format!("id: {id}\n")),
+        any::<u8>().prop_map(|id| format!("id: {id}\r\n")),
+        "[a-z]{0,6}".prop_map(|data| format!("data: {data}\n")),
+        "[a-z]{0,6}".prop_map(|data| format!("data: {data}\r\n")),
+        proptest::strategy::Just("\n".to_owned()),
+        proptest::strategy::Just("\r\n".to_owned()),
+        "[a-z]{1,3}",
+    ];
+    let first = "[a-z]{1,4}: x\n";
+    (first, proptest::collection::vec(piece, 0..30))
+        .prop_map(|(first, pieces)| first + &pieces.concat())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(0x7370_6c69),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn whole_events_come_out_unchanged_however_they_are_cut(
+        text in texts(),
+        cuts in proptest::collection::vec(1_usize..9, 1..60),
+    ) {
+        let mut splitter = EventSplitter::default();
+        let mut out = Vec::new();
+        let mut rest = text.as_bytes();
+        let mut cuts = cuts.into_iter().cycle();
+        while !rest.is_empty() {
+            let length = cuts.next().unwrap_or(1).min(rest.len());
+            let (piece, after) = rest.split_at(length);
+            rest = after;
+            if let Some(run) = splitter.push(piece).expect("no event is too long") {
+                prop_assert!(!run.bytes.is_empty());
+                out.extend_from_slice(&run.bytes);
+            }
+        }
+        let expected = naive(&text);
+        prop_assert_eq!(String::from_utf8_lossy(&out), expected);
+        prop_assert_eq!(splitter.is_within_event(), expected.len() < text.len());
+    }
+}
+
+#[test]
+fn the_last_id_of_a_run_is_known() {
+    let mut splitter = EventSplitter::default();
+    let run = splitter
+        .push(b"id: 4\ndata: a\n\nversion: 2\nid: 5\ndata: b\n\nid: 6\nda")
+        .expect("short events")
+        .expect("two events");
+    assert_eq!((run.last_id, run.events), (Some(5), 2));
+    let run = splitter
+        .push(b"ta: c\n\n")
+        .expect("short")
+        .expect("the third event");
+    assert_eq!((run.last_id, run.events), (Some(6), 1));
+}
+
+#[test]
+fn an_endless_event_is_given_up() {
+    let mut splitter = EventSplitter::default();
+    let piece = vec![b'x'; 64 << 10];
+    let broken = (0..32).any(|_| splitter.push(&piece).is_err());
+    assert!(broken);
+}
--- /dev/null
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -0,0 +1,180 @@
+//! Streams: passed on as they arrive, and resumed elsewhere where the route allows.
+
+use std::time::{Duration, Instant};
+
+use amaranth_dispatch::routes::RouteKind;
+use tokio::io::AsyncWriteExt;
+use tokio::time::sleep;
+
+use crate::support::{
+    FakeEndpoint, LAST_CHUNK, Reply, TestEntry, chunk, event, header, post, read_to_end,
+    read_until, route, status, stream_head, untouched,
+};
+
+fn whole_stream(call: &str, ids: std::ops::RangeInclusive<u64>) -> Reply {
+    let events: String = ids.map(event).collect();
+    Reply::Write(stream_head(call) + &events + LAST_CHUNK)
+}
+
+/// Returns the ids of the events of an answer, in order.
+fn event_ids(answer: &str) -> Vec<u64> {
+    answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("id: "))
+        .filter_map(|id| id.parse().ok())
+        .collect()
+}
+
+#[tokio::test]
+async fn events_pass_as_they_arrive() {
+    let endpoint = FakeEndpoint::bind(vec![Reply::Pieces(vec![
+        (0, stream_head("c1") + &event(1)),
+        (600, event(2) + LAST_CHUNK),
+    ])])
+    .await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 1), &[&endpoint]);
+    let mut caller = entry.connect().await;
+    let started = Instant::now();
+    caller
+        .write_all(post("c1", "").as_bytes())
+        .await
+        .expect("written");
+    let first = read_until(&mut caller, "data: t1").await;
+    assert!(started.elapsed() < Duration::from_millis(400));
+    assert_eq!(header(&first, "proof").as_deref(), Some("p"));
+    let rest = read_to_end(&mut caller).await;
+    assert!(
+        rest.contains("data: t2") && rest.ends_with(LAST_CHUNK),
+        "{rest}"
+    );
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_within_an_event_goes_on_at_another_engine() {
+    let broken = stream_head("c1") + &event(1) + &event(2) + &chunk("id: 3\ndat");
+    let first = FakeEndpoint::bind(vec![Reply::WriteAndClose(broken)]).await;
+    let second = FakeEndpoint::bind(vec![whole_stream("c1", 3..=5)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&first, &second]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(event_ids(&answer), [1, 2, 3, 4, 5]);
+    assert!(answer.ends_with(LAST_CHUNK), "{answer}");
+    assert_eq!(
+        header(&second.arrivals()[0], "after-event").as_deref(),
+        Some("2")
+    );
+}
+
+#[tokio::test]
+async fn a_stream_goes_on_although_the_next_engine_is_busy() {
+    let broken = stream_head("c1") + &event(1);
+    let first = FakeEndpoint::bind(vec![Reply::WriteAndClose(broken)]).await;
+    let busy = FakeEndpoint::bind(vec![Reply::Write(untouched())]).await;
+    let third = FakeEndpoint::bind(vec![whole_stream("c1", 2..=3)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&first, &busy, &third]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+}
+
+#[tokio::test]
+async fn a_broken_stream_that_may_not_be_resumed_does_not_look_complete() {
+    let broken = stream_head("c1") + &event(1) + &event(2);
+    let first = FakeEndpoint::bind(vec![Reply::WriteAndClose(broken)]).await;
+    let second = FakeEndpoint::bind(vec![whole_stream("c1", 3..=5)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 2), &[&first, &second]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(event_ids(&answer), [1, 2]);
+    assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
+    assert!(second.arrivals().is_empty());
+}
+
+#[tokio::test]
+async fn a_stream_that_breaks_before_its_first_event_starts_again_where_it_may() {
+    let first = FakeEndpoint::bind(vec![Reply::WriteAndClose(stream_head("c1"))]).await;
+    let second = FakeEndpoint::bind(vec![whole_stream("c1", 1..=2)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&first, &second]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(event_ids(&answer), [1, 2]);
+}
+
+#[tokio::test]
+async fn a_stream_that_may_not_be_resumed_and_broke_at_once_is_answered_502() {
+    let first = FakeEndpoint::bind(vec![Reply::WriteAndClose(stream_head("c1"))]).await;
+    let second = FakeEndpoint::bind(vec![whole_stream("c1", 1..=2)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 2), &[&first, &second]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(status(&answer), "502", "{answer}");
+    assert!(second.arrivals().is_empty());
+}
+
+#[tokio::test]
+async fn a_caller_may_resume_a_stream_itself() {
+    let endpoint = FakeEndpoint::bind(vec![whole_stream("c1", 5..=6)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&endpoint]);
+    let answer = entry.call(&post("c1", "After-Event: 4\r\n")).await;
+    assert_eq!(event_ids(&answer), [5, 6]);
+    assert_eq!(
+        header(&endpoint.arrivals()[0], "after-event").as_deref(),
+        Some("4")
+    );
+}
+
+#[tokio::test]
+async fn an_engine_stops_when_the_caller_of_its_stream_leaves() {
+    let endpoint = FakeEndpoint::bind(vec![
+        Reply::Write(stream_head("c1") + &event(1)),
+        Reply::Silence,
+    ])
+    .await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&endpoint]);
+    let mut caller = entry.connect().await;
+    caller
+        .write_all(post("c1", "").as_bytes())
+        .await
+        .expect("written");
+    read_until(&mut caller, "data: t1").await;
+    drop(caller);
+    sleep(Duration::from_millis(300)).await;
+    assert_eq!(endpoint.closed(), 1);
+    assert_eq!(endpoint.arrivals().len(), 1);
+}
+
+/// An engine whose VM is frozen takes calls and says nothing. Callers would wait there until they
+/// leave.
+#[tokio::test]
+async fn a_generation_leaves_an_engine_that_says_nothing() {
+    let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
+    let well = FakeEndpoint::bind(vec![whole_stream("c1", 1..=3)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&frozen, &well]);
+    let started = Instant::now();
+    let answer = entry.call(&post("c1", "Wants: m\r\n")).await;
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+    assert!(started.elapsed() < Duration::from_millis(1_800));
+    assert_eq!((frozen.arrivals().len(), frozen.closed()), (1, 1));
+}
+
+#[tokio::test]
+async fn a_generation_that_may_not_be_repeated_stays_with_a_silent_engine() {
+    let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
+    let well = FakeEndpoint::bind(vec![whole_stream("c1", 1..=3)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 2), &[&frozen, &well]);
+    let answer = entry.call(&post("c1", "Wants: m\r\n")).await;
+    assert_eq!(status(&answer), "502", "{answer}");
+    assert!(well.arrivals().is_empty());
+}
+
+#[tokio::test]
+async fn later_generations_pass_a_silent_engine_over() {
+    let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
+    let well = FakeEndpoint::bind(vec![
+        whole_stream("c1", 1..=1),
+        whole_stream("c2", 1..=1),
+        whole_stream("c3", 1..=1),
+    ])
+    .await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&frozen, &well]);
+    for id in ["c1", "c2", "c3"] {
+        let answer = entry.call(&post(id, "Wants: m\r\n")).await;
+        assert_eq!(event_ids(&answer), [1], "{id}: {answer}");
+    }
+    assert_eq!(frozen.arrivals().len(), 1);
+}
--- /dev/null
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -0,0 +1,498 @@
+//! A dialect of the tests' own, scripted endpoints, and callers that speak bytes.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_core::ids::EndpointId;
+use amaranth_dispatch::call::{CallHead, CallId, GenerationNeed, PromptParts};
+use amaranth_dispatch::endpoint_book::{EndpointRecord, RegistryEvent};
+use amaranth_dispatch::engine_placer::Locality;
+use amaranth_dispatch::engine_view::EngineContents;
+use amaranth_dispatch::refusal::Refusal;
+use amaranth_dispatch::routes::{
+    CallerLimits, EngineRule, ModelRule, RouteKind, RouteRule, RoutingConfig, ServiceRule,
+    WeightedService,
+};
+use amaranth_relay::caller_server::CallerServer;
+use amaranth_relay::dialect::{AnswerFacts, BadHead, CallDialect, SendTerms};
+use amaranth_relay::entry::{ConfigRecord, EntryCore, EntryOptions};
+use amaranth_relay::feed::FeedEvent;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, request, response};
+use smallvec::smallvec;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+
+const CALL: HeaderName = HeaderName::from_static("call");
+const MEANT: HeaderName = HeaderName::from_static("meant");
+const LEFT: HeaderName = HeaderName::from_static("left-ms");
+const AFTER: HeaderName = HeaderName::from_static("after-event");
+const PROOF: HeaderName = HeaderName::from_static("proof");
+const WANTS: HeaderName = HeaderName::from_static("wants");
+const UNTOUCHED: HeaderName = HeaderName::from_static("untouched");
+
+/// Longest time that a test waits for anything.
+pub const PATIENCE: Duration = Duration::from_secs(5);
+
+/// A small dialect with headers of its own.
+#[derive(Debug)]
+pub struct PlainDialect;
+
+fn text(headers: &HeaderMap, name: &HeaderName) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+impl CallDialect for PlainDialect {
+    fn read_call(&self, head: &request::Parts) -> Result<CallHead, BadHead> {
+        let id = text(&head.headers, &CALL).ok_or(BadHead {
+            header: "call",
+            problem: "it is missing".to_owned(),
+        })?;
+        let number = |name| text(&head.headers, name).and_then(|value| value.parse().ok());
+        Ok(CallHead {
+            id: CallId::new(&id),
+            host: text(&head.headers, &http::header::HOST).unwrap_or_default(),
+            path: head.uri.path().to_owned(),
+            patience: number(&LEFT).map(Duration::from_millis),
+            resume_after: number(&AFTER),
+            generation: text(&head.headers, &WANTS).map(|model| GenerationNeed {
+                model: model.parse().expect("a name"),
+                adapter: None,
+                prompt_tokens: 100,
+                output_limit: 10,
+                output_hint: None,
+                parts: PromptParts::new(),
+            }),
+        })
+    }
+
+    fn forward_headers(&self, caller: &HeaderMap, terms: SendTerms<'_>) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        for (name, value) in caller {
+            let of_connection = [&http::header::CONNECTION, &http::header::TRANSFER_ENCODING];
+            if !of_connection.contains(&name) && name != http::header::CONTENT_LENGTH {
+                headers.append(name.clone(), value.clone());
+            }
+        }
+        let left = u64::try_from(terms.time_left.as_millis()).unwrap_or(u64::MAX);
+        headers.insert(LEFT, HeaderValue::from(left));
+        let meant = HeaderValue::from_str(terms.endpoint.as_str()).expect("a header's value");
+        headers.insert(MEANT, meant);
+        if let Some(event) = terms.resume_after {
+            headers.insert(AFTER, HeaderValue::from(event));
+        }
+        headers
+    }
+
+    fn read_answer(&self, head: &response::Parts) -> AnswerFacts {
+        AnswerFacts {
+            not_run: head.headers.contains_key(UNTOUCHED),
+            misdirected: head.status == http::StatusCode::MISDIRECTED_REQUEST,
+            authenticated: head.headers.contains_key(PROOF),
+            call_id: text(&head.headers, &CALL),
+            is_event_stream: text(&head.headers, &http::header::CONTENT_TYPE).as_deref()
+                == Some("text/event-stream"),
+            is_encoded: false,
+            keep_alive: None,
+        }
+    }
+
+    fn answer_headers(&self, endpoint: &HeaderMap) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        for name in [CALL, PROOF, http::header::CONTENT_TYPE] {
+            if let Some(value) = endpoint.get(&name) {
+                headers.insert(name, value.clone());
+            }
+        }
+        headers
+    }
+
+    fn refusal_headers(&self, _head: Option<&CallHead>, refusal: Refusal) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        if let Some(delay) = refusal.retry_after {
+            let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+            headers.insert("again-ms", HeaderValue::from(millis));
+        }
+        headers
+    }
+
+    fn is_readiness_check(&self, method: &Method, path: &str) -> bool {
+        method == Method::GET && path == "/up"
+    }
+}
+
+/// What an endpoint does with a request.
+#[derive(Debug, Clone)]
+pub enum Reply {
+    /// Write these bytes and keep the connection.
+    Write(String),
+    /// Write these pieces, each after a pause in milliseconds, and keep the connection.
+    Pieces(Vec<(u64, String)>),
+    /// Write these bytes and close.
+    WriteAndClose(String),
+    /// Say nothing until the other side closes.
+    Silence,
+}
+
+/// Returns a whole answer that bears the endpoint's proof.
+pub fn whole(status: &str, call: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nCall: {call}\r\nProof: p\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Returns an endpoint's statement that it did not run a call.
+pub fn untouched() -> String {
+    "HTTP/1.1 503 Busy\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+}
+
+/// Returns the head of a stream of events.
+pub fn stream_head(call: &str) -> String {
+    format!(
+        "HTTP/1.1 200 OK\r\nCall: {call}\r\nProof: p\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+}
+
+/// Returns a chunk of a body.
+pub fn chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
+/// Returns an event as a chunk.
+pub fn event(id: u64) -> String {
+    chunk(&format!("id: {id}\ndata: t{id}\n\n"))
+}
+
+/// The end of a body in chunks.
+pub const LAST_CHUNK: &str = "0\r\n\r\n";
+
+/// An endpoint whose replies are scripted, the last one for ever.
+#[derive(Debug)]
+pub struct FakeEndpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    arrivals: Arc<Mutex<Vec<String>>>,
+    closed: Arc<Mutex<u32>>,
+    task: JoinHandle<()>,
+}
+
+impl FakeEndpoint {
+    /// Listens on loopback.
+    pub async fn bind(replies: Vec<Reply>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let arrivals = Arc::new(Mutex::new(Vec::new()));
+        let closed = Arc::new(Mutex::new(0));
+        let task = tokio::spawn(serve(
+            listener,
+            replies,
+            Arc::clone(&arrivals),
+            Arc::clone(&closed),
+        ));
+        Self {
+            address,
+            arrivals,
+            closed,
+            task,
+        }
+    }
+
+    /// Returns the requests that arrived, whole.
+    pub fn arrivals(&self) -> Vec<String> {
+        self.arrivals.lock().expect("no panic").clone()
+    }
+
+    /// Returns how many connections the other side closed.
+    pub fn closed(&self) -> u32 {
+        *self.closed.lock().expect("no panic")
+    }
+}
+
+impl Drop for FakeEndpoint {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn serve(
+    listener: TcpListener,
+    replies: Vec<Reply>,
+    arrivals: Arc<Mutex<Vec<String>>>,
+    closed: Arc<Mutex<u32>>,
+) {
+    let replies = Arc::new(replies);
+    while let Ok((stream, _)) = listener.accept().await {
+        let (replies, arrivals, closed) = (
+            Arc::clone(&replies),
+            Arc::clone(&arrivals),
+            Arc::clone(&closed),
+        );
+        tokio::spawn(async move {
+            let by_other_side = serve_connection(stream, &replies, &arrivals).await;
+            *closed.lock().expect("no panic") += u32::from(by_other_side);
+        });
+    }
+}
+
+/// Serves one connection and returns whether the other side closed it.
+async fn serve_connection(
+    mut stream: TcpStream,
+    replies: &[Reply],
+    arrivals: &Mutex<Vec<String>>,
+) -> bool {
+    while let Some(request) = read_request(&mut stream).await {
+        let index = {
+            let mut arrivals = arrivals.lock().expect("no panic");
+            arrivals.push(request);
+            arrivals.len() - 1
+        };
+        let reply = replies.get(index).or(replies.last()).expect("a reply");
+        match reply {
+            Reply::Write(bytes) => {
+                if stream.write_all(bytes.as_bytes()).await.is_err() {
+                    return true;
+                }
+            }
+            Reply::Pieces(pieces) => {
+                for (pause, piece) in pieces {
+                    tokio::time::sleep(Duration::from_millis(*pause)).await;
+                    if stream.write_all(piece.as_bytes()).await.is_err() {
+                        return true;
+                    }
+                }
+            }
+            Reply::WriteAndClose(bytes) => {
+                let written = stream.write_all(bytes.as_bytes()).await;
+                return written.is_err();
+            }
+            Reply::Silence => {
+                let mut rest = [0; 64];
+                while matches!(stream.read(&mut rest).await, Ok(read) if read > 0) {}
+                return true;
+            }
+        }
+    }
+    true
+}
+
+/// Reads a request with its body by length.
+async fn read_request(stream: &mut TcpStream) -> Option<String> {
+    let mut bytes = Vec::new();
+    loop {
+        if let Some(head) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            let length = header(&text, "content-length")
+                .and_then(|value| value.parse::<usize>().ok())
+                .unwrap_or(0);
+            if bytes.len() >= head + 4 + length {
+                return Some(text);
+            }
+        }
+        let mut buffer = [0; 4_096];
+        match stream.read(&mut buffer).await {
+            Ok(0) | Err(_) => return None,
+            Ok(read) => bytes.extend_from_slice(&buffer[..read]),
+        }
+    }
+}
+
+/// Returns a header of a message.
+pub fn header(message: &str, name: &str) -> Option<String> {
+    message
+        .lines()
+        .take_while(|line| !line.is_empty())
+        .find_map(|line| {
+            let (key, value) = line.split_once(':')?;
+            key.eq_ignore_ascii_case(name)
+                .then(|| value.trim().to_owned())
+        })
+}
+
+/// An entry and its server on loopback.
+#[derive(Debug)]
+pub struct TestEntry {
+    /// What the entry shares.
+    pub core: Arc<EntryCore>,
+    /// Its server.
+    pub server: CallerServer,
+}
+
+/// Returns a route of the tests' service under `/p/`.
+pub fn route(kind: RouteKind, resumable: bool, max_attempts: u32) -> RouteRule {
+    RouteRule {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        path_prefix: "/p/".to_owned(),
+        kind,
+        timeout: Duration::from_secs(3),
+        objective: Duration::from_secs(1),
+        pause_objective: None,
+        priority: 1,
+        services: smallvec![WeightedService {
+            service: "s".parse().expect("a name"),
+            weight: 1,
+        }],
+        max_attempts,
+        resumable,
+    }
+}
+
+impl TestEntry {
+    /// Starts an entry that knows nothing.
+    pub fn bind() -> Self {
+        let options = EntryOptions {
+            name: "entry".to_owned(),
+            locality: Locality::default(),
+            callers: "127.0.0.1:0".parse().expect("an address"),
+            readiness: "127.0.0.1:0".parse().expect("an address"),
+            agent_port: 1,
+            retry_ratio: 0.2,
+            retry_slack: 50,
+            entries: 1,
+            stop_grace: Duration::from_secs(2),
+        };
+        let core = EntryCore::open(options, PlainDialect);
+        let server = CallerServer::bind(&core).expect("free ports");
+        Self { core, server }
+    }
+
+    /// Starts an entry with one route and some endpoints, named `e0`, `e1` and so on.
+    pub fn serving(route: RouteRule, endpoints: &[&FakeEndpoint]) -> Self {
+        let entry = Self::bind();
+        entry.configure(1, vec![route]);
+        entry.announce(endpoints);
+        entry
+    }
+
+    /// Puts a configuration in force.
+    pub fn configure(&self, version: u64, routes: Vec<RouteRule>) {
+        let config = RoutingConfig {
+            version,
+            routes,
+            services: vec![ServiceRule {
+                name: "s".parse().expect("a name"),
+                max_connections: 10,
+                engine: Some(EngineRule {
+                    slots: 8,
+                    cache_tokens: 10_000,
+                    memory_mb: 1_000.0,
+                    adapter_places: 2,
+                    models: vec![ModelRule {
+                        name: "m".parse().expect("a name"),
+                        weights_mb: 500.0,
+                        adapter_mb: 1.0,
+                        load_time: Duration::from_secs(1),
+                    }],
+                }),
+            }],
+            limits: CallerLimits {
+                head_bytes: 16 << 10,
+                body_bytes: 1 << 16,
+                head_timeout: Duration::from_secs(3),
+                idle_timeout: Duration::from_secs(10),
+            },
+        };
+        let record = ConfigRecord::Config(Box::new(config));
+        self.core.take_config(FeedEvent::Changes(vec![record]));
+    }
+
+    /// Announces endpoints, the first one in the entry's own data centre.
+    pub fn announce(&self, endpoints: &[&FakeEndpoint]) {
+        let records = endpoints
+            .iter()
+            .enumerate()
+            .map(|(index, endpoint)| {
+                let centre = if index == 0 { "" } else { "far" };
+                RegistryEvent::Announced(Box::new(record(index, endpoint.address, centre)))
+            })
+            .collect();
+        self.core.take_registry(FeedEvent::Whole(records));
+    }
+
+    /// Makes a call on a connection of its own and returns all that comes back.
+    pub async fn call(&self, request: &str) -> String {
+        let mut stream = self.connect().await;
+        stream.write_all(request.as_bytes()).await.expect("written");
+        read_to_end(&mut stream).await
+    }
+
+    /// Connects as a caller.
+    pub async fn connect(&self) -> TcpStream {
+        TcpStream::connect(self.server.address())
+            .await
+            .expect("connected")
+    }
+
+    /// Asks for readiness and returns the status.
+    pub async fn readiness(&self) -> String {
+        let mut stream = TcpStream::connect(self.server.readiness())
+            .await
+            .expect("connected");
+        let request = "GET /up HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+        stream.write_all(request.as_bytes()).await.expect("written");
+        status(&read_to_end(&mut stream).await)
+    }
+}
+
+/// Returns an endpoint's announcement.
+pub fn record(index: usize, address: SocketAddr, data_centre: &str) -> EndpointRecord {
+    let id: EndpointId = format!("e{index}").parse().expect("a name");
+    EndpointRecord {
+        id,
+        service: "s".parse().expect("a name"),
+        address,
+        data_centre: data_centre.to_owned(),
+        slots: 8,
+        leaving: false,
+        started_ms: Some(1),
+        sequence: 1,
+        contents: EngineContents {
+            models: vec!["m".parse().expect("a name")],
+            ..EngineContents::default()
+        },
+    }
+}
+
+/// Reads until the other side closes.
+pub async fn read_to_end(stream: &mut TcpStream) -> String {
+    let mut bytes = Vec::new();
+    // A connection that is reset ends the text as well.
+    let _ = timeout(PATIENCE, stream.read_to_end(&mut bytes))
+        .await
+        .expect("an end");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Reads until the text holds `part`.
+pub async fn read_until(stream: &mut TcpStream, part: &str) -> String {
+    let mut bytes = Vec::new();
+    let reading = async {
+        let mut buffer = [0; 1_024];
+        while !String::from_utf8_lossy(&bytes).contains(part) {
+            let read = stream.read(&mut buffer).await.expect("read");
+            assert!(
+                read > 0,
+                "closed before {part:?}: {}",
+                String::from_utf8_lossy(&bytes)
+            );
+            bytes.extend_from_slice(&buffer[..read]);
+        }
+    };
+    timeout(PATIENCE, reading).await.expect("the part comes");
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+/// Returns the status of an answer.
+pub fn status(answer: &str) -> String {
+    answer.split(' ').nth(1).unwrap_or("none").to_owned()
+}
+
+/// Returns a call that closes its connection after the answer.
+pub fn post(id: &str, extra: &str) -> String {
+    format!(
+        "POST /p/x?q=1 HTTP/1.1\r\nHost: h\r\nCall: {id}\r\nLeft-Ms: 2000\r\nConnection: close\r\n{extra}Content-Length: 4\r\n\r\nbody"
+    )
+}
