Count other entries' unread prompts, and read the store less often

Agents now tell how many prompts an engine has not read; an engine whose agent says that it answers is not silent.

--- a/crates/amaranth-dispatch/src/adapter_shelf.rs
+++ b/crates/amaranth-dispatch/src/adapter_shelf.rs
@@ -32,6 +32,9 @@
 /// way.
 const FRESH_TIME: Duration = Duration::from_millis(200);
 
+/// Change of the number of unread prompts that entries are told of at once.
+const TOLD_CHANGE: u32 = 3;
+
 /// Adapters that an engine keeps at hand after it dropped them, in multiples of its places. They
 /// load again in a fraction of the time and without the weight store.
 const REMEMBERED_PER_PLACE: usize = 6;
@@ -106,6 +109,7 @@
     stale: bool,
     pause_until: Timestamp,
     revision: u64,
+    told_unread: u32,
 }
 
 impl AdapterShelf {
@@ -153,8 +157,10 @@
                 || known.models != contents.models
                 || known.started_ms != contents.started_ms
         });
-        if changed {
+        let load_moved = contents.unread.abs_diff(self.told_unread) >= TOLD_CHANGE;
+        if changed || load_moved {
             self.revision += 1;
+            self.told_unread = contents.unread;
         }
         self.contents = Some(contents);
     }
--- a/crates/amaranth-dispatch/src/endpoint_book.rs
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -61,6 +61,9 @@
     Unchanged,
 }
 
+/// Age up to which an agent's word that its engine answers is trusted.
+const VIEW_TRUST: Duration = Duration::from_millis(1_500);
+
 /// Failures in a row after which an endpoint is passed over.
 const FAILURES_TO_SHUN: u32 = 2;
 
@@ -144,6 +147,23 @@
         now < self.shunned_until
     }
 
+    /// Returns whether the engine has fallen silent: it owes this entry events, and its agent does
+    /// not say that it still answers.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        let answers = self
+            .view
+            .as_ref()
+            .is_some_and(|(at, view)| now.since(*at) < VIEW_TRUST && view.contents.cache_total > 0);
+        !answers && self.estimate.is_silent(now)
+    }
+
+    /// Returns the prompts of other entries that the engine has not read.
+    pub fn unread_of_others(&self) -> u32 {
+        self.contents()
+            .unread
+            .saturating_sub(self.estimate.unread_prompts())
+    }
+
     /// Returns the adapters that the entry's own calls use.
     pub fn own_uses(&self) -> &[AdapterUse] {
         &self.uses
--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -14,6 +14,9 @@
 /// Prompt tokens that an engine reads in a millisecond, before its own pace is known.
 const PREFILL_TOKENS_PER_MS: f64 = 19.0;
 
+/// Tokens that are left to read of another entry's prompt, on average: half of a usual one.
+const OTHERS_TOKENS: f64 = 1_000.0;
+
 /// Time of one step of an idle batch, in milliseconds, before the engine's own pace is known.
 const STEP_MS: f64 = 10.0;
 
@@ -140,9 +143,17 @@
         need.prompt_tokens.saturating_sub(kept)
     }
 
+    /// Returns the prompts that were sent and whose first event has not come.
+    pub fn unread_prompts(&self) -> u32 {
+        u32::try_from(self.unread.len()).unwrap_or(u32::MAX)
+    }
+
     /// Returns how long the first event of a generation would take.
-    pub fn first_event(&self, now: Timestamp, tokens: u32, batch: u32) -> Duration {
-        let prefill = (self.backlog_tokens(now) + f64::from(tokens)) / PREFILL_TOKENS_PER_MS;
+    ///
+    /// `others` is the number of prompts of other entries that the engine has not read.
+    pub fn first_event(&self, now: Timestamp, tokens: u32, batch: u32, others: u32) -> Duration {
+        let ahead = self.backlog_tokens(now) + f64::from(others) * OTHERS_TOKENS;
+        let prefill = (ahead + f64::from(tokens)) / PREFILL_TOKENS_PER_MS;
         let steps = 2.0 * (STEP_MS + 0.03 * f64::from(batch));
         Duration::from_secs_f64((prefill + steps) * self.pace(now) / 1_000.0)
     }
@@ -154,9 +165,10 @@
         need: &GenerationNeed,
         adapter_seed: u64,
         batch: u32,
+        others: u32,
     ) -> PromptTicket {
         let tokens = self.unread_tokens(need, adapter_seed);
-        let expected = self.first_event(now, tokens, batch);
+        let expected = self.first_event(now, tokens, batch, others);
         self.tickets += 1;
         self.unread.push(UnreadPrompt {
             ticket: self.tickets,
--- a/crates/amaranth-dispatch/src/engine_placer.rs
+++ b/crates/amaranth-dispatch/src/engine_placer.rs
@@ -152,9 +152,12 @@
         };
         let tokens = state.estimate.unread_tokens(query.need, key);
         let travel = if near { Duration::ZERO } else { ABROAD_TIME };
-        let first_event = state.estimate.first_event(now, tokens, batch_size(state))
-            + load_time(reason, query.load_wait)
-            + travel;
+        let first_event =
+            state
+                .estimate
+                .first_event(now, tokens, batch_size(state), state.unread_of_others())
+                + load_time(reason, query.load_wait)
+                + travel;
         let earned = expected_worth(query.spent + first_event, query.objective)
             - load_price(reason, rank)
             - prices(now, state, query, near);
@@ -262,7 +265,7 @@
     if !near {
         price += ABROAD_PRICE;
     }
-    if state.is_shunned(now) || state.estimate.is_silent(now) {
+    if state.is_shunned(now) || state.is_silent(now) {
         price += LAST_RESORT_PRICE;
     }
     if is_full(now, state, query) {
--- a/crates/amaranth-dispatch/src/engine_view.rs
+++ b/crates/amaranth-dispatch/src/engine_view.rs
@@ -36,6 +36,8 @@
     pub queued: u32,
     /// Requests in the batch.
     pub active: u32,
+    /// Requests whose first token has not come: those that wait, and those whose prompt is read.
+    pub unread: u32,
     /// Tokens of memory that can't yield.
     pub cache_used: u64,
     /// Tokens of memory in all.
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -32,14 +32,14 @@
 use crate::suspend_clock::SuspendClock;
 
 /// Time for which a read of the configuration waits for a change.
-const CONFIG_WAIT: Duration = Duration::from_millis(3_000);
+const CONFIG_WAIT: Duration = Duration::from_millis(4_500);
 
 /// Least time between two reads of the configuration.
 const CONFIG_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time between two reads of the registry. Leaving endpoints have to be known well within the
-/// platform's bound on sending to them.
-const REGISTRY_INTERVAL: Duration = Duration::from_millis(1_000);
+/// Part of the bound on sending to endpoints that leave that passes between two reads of the
+/// registry.
+const REGISTRY_PART: f64 = 0.5;
 
 /// Time for which an agent waits for a change before it answers an exchange.
 const EXCHANGE_WAIT: Duration = Duration::from_millis(400);
@@ -54,10 +54,10 @@
 const UNSEEN_REVISION: u64 = u64::MAX;
 
 /// The time for which an agent in another region waits before it answers an exchange.
-const FAR_EXCHANGE_WAIT: Duration = Duration::from_millis(1_500);
+const FAR_EXCHANGE_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Least time between two exchanges with an agent in another region: their bytes have a price.
-const FAR_EXCHANGE_INTERVAL: Duration = Duration::from_millis(500);
+const FAR_EXCHANGE_INTERVAL: Duration = Duration::from_millis(1_200);
 
 /// Pause after an agent gave no answer.
 const AGENT_PAUSE: Duration = Duration::from_millis(700);
@@ -87,6 +87,8 @@
     pub retry_slack: u32,
     /// Entries of the fleet, at most.
     pub entries: u32,
+    /// The time within which an endpoint that leaves gets no new calls.
+    pub leave_bound: Duration,
     /// How long the process may take to stop.
     pub stop_grace: Duration,
 }
@@ -515,7 +517,7 @@
     let registry_options = FeedOptions {
         name: "registry",
         wait: Duration::ZERO,
-        interval: REGISTRY_INTERVAL,
+        interval: core.options.leave_bound.mul_f64(REGISTRY_PART),
     };
     let tasks = vec![
         tokio::spawn(async move {
--- a/crates/amaranth-relay/src/order_loop.rs
+++ b/crates/amaranth-relay/src/order_loop.rs
@@ -10,7 +10,7 @@
 use crate::engine_port::{EnginePort, FencingToken, TokenSource};
 
 /// Time between two reports of an engine that loads nothing.
-const CALM_INTERVAL: Duration = Duration::from_millis(250);
+const CALM_INTERVAL: Duration = Duration::from_millis(120);
 
 /// Time between two reports while loads are on their way.
 const LOADING_INTERVAL: Duration = Duration::from_millis(25);
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -57,8 +57,9 @@
         let mut state = self.core.state();
         if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
             let batch = endpoint.calls();
+            let others = endpoint.unread_of_others();
             let seed = need_key(&need);
-            self.ticket = Some(endpoint.estimate.begin(now, &need, seed, batch));
+            self.ticket = Some(endpoint.estimate.begin(now, &need, seed, batch, others));
         }
     }
 
@@ -89,7 +90,7 @@
         let now = self.core.now();
         let state = self.core.state();
         let endpoint = state.book.get(&self.endpoint);
-        endpoint.is_some_and(|endpoint| endpoint.estimate.is_silent(now))
+        endpoint.is_some_and(|endpoint| endpoint.is_silent(now))
     }
 
     /// Notes how the call went, for the endpoint's health.
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -352,6 +352,7 @@
             retry_ratio: 0.2,
             retry_slack: 50,
             entries: 1,
+            leave_bound: Duration::from_secs(2),
             stop_grace: Duration::from_secs(2),
         };
         let core = EntryCore::open(options, PlainDialect);
