--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -11,8 +11,12 @@
 
 use crate::call::{GenerationNeed, PromptPart};
 
-/// Prompt tokens that an engine reads in a millisecond, before its own pace is known.
-const PREFILL_TOKENS_PER_MS: f64 = 19.0;
+/// Prompt tokens that an engine reads in a millisecond between the tokens of running requests,
+/// before its own pace is known.
+const PREFILL_TOKENS_PER_MS: f64 = 14.0;
+
+/// Time of a first event beyond the reading of prompts, in milliseconds.
+const FIRST_MS: f64 = 80.0;
 
 /// Tokens that are left to read of another entry's prompt, on average: half of a usual one.
 const OTHERS_TOKENS: f64 = 1_000.0;
@@ -21,7 +25,7 @@
 const STEP_MS: f64 = 10.0;
 
 /// Weight of the newest observation in an engine's pace.
-const PACE_WEIGHT: f64 = 0.1;
+const PACE_WEIGHT: f64 = 0.15;
 
 /// Bounds of an engine's pace against the expected one.
 const PACE_BOUNDS: (f64, f64) = (0.5, 8.0);
@@ -155,7 +159,7 @@
         let ahead = self.backlog_tokens(now) + f64::from(others) * OTHERS_TOKENS;
         let prefill = (ahead + f64::from(tokens)) / PREFILL_TOKENS_PER_MS;
         let steps = 2.0 * (STEP_MS + 0.03 * f64::from(batch));
-        Duration::from_secs_f64((prefill + steps) * self.pace(now) / 1_000.0)
+        Duration::from_secs_f64((FIRST_MS + (prefill + steps) * self.pace(now)) / 1_000.0)
     }
 
     /// Notes that a prompt is sent.
@@ -182,27 +186,29 @@
         }
     }
 
-    /// Notes the first event of a prompt, from which the pace is learned.
+    /// Notes the first event of a prompt, from which the pace is learned, and returns the time
+    /// that it took.
     pub fn first_event_came(
         &mut self,
         now: Timestamp,
         ticket: PromptTicket,
         need: &GenerationNeed,
         adapter_seed: u64,
-    ) {
-        let Some(position) = self.position(ticket) else {
-            return;
-        };
+    ) -> Option<Duration> {
+        let position = self.position(ticket)?;
         self.heard_at = now;
         self.running += 1;
-        let took = now.since(self.unread[position].sent_at).as_secs_f64();
+        let elapsed = now.since(self.unread[position].sent_at);
+        let took = elapsed.as_secs_f64();
         self.unread.remove(position);
         let pace = self.pace(now);
-        let expected = ticket.expected.as_secs_f64().max(0.001);
-        let seen = (took / expected * pace).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
+        let base = FIRST_MS / 1_000.0;
+        let expected = (ticket.expected.as_secs_f64() - base).max(0.01);
+        let seen = ((took - base).max(0.0) / expected * pace).clamp(PACE_BOUNDS.0, PACE_BOUNDS.1);
         self.pace = pace + PACE_WEIGHT * (seen - pace);
         self.pace_at = now;
         self.keep_parts(now, &need.parts, adapter_seed);
+        Some(elapsed)
     }
 
     /// Notes that a prompt ended without a first event.
--- a/crates/amaranth-dispatch/src/engine_placer.rs
+++ b/crates/amaranth-dispatch/src/engine_placer.rs
@@ -53,7 +53,7 @@
 const SURE_PARTS: (f64, f64) = (0.55, 1.25);
 
 /// What an engine's time costs others, for each objective's length of waiting.
-const WAIT_PRICE: f64 = 0.12;
+const WAIT_PRICE: f64 = 0.4;
 
 /// Where this entry stands, and what is near.
 #[derive(Debug, Clone, Default)]
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -1,6 +1,7 @@
 //! A call's place at an endpoint, from the choice to the end.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use amaranth_core::ids::EndpointId;
 use amaranth_dispatch::call::GenerationNeed;
@@ -10,6 +11,15 @@
 
 use crate::entry::EntryCore;
 
+/// The predicted and the real time from the send to the first event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FirstEventPrediction {
+    /// The time that was expected.
+    pub expected: Duration,
+    /// The time that it took.
+    pub took: Duration,
+}
+
 /// Counts a call at an endpoint until it is dropped.
 #[derive(Debug)]
 pub struct SendGuard {
@@ -18,6 +28,7 @@
     need: Option<Arc<GenerationNeed>>,
     ticket: Option<PromptTicket>,
     runs: bool,
+    prediction: Option<FirstEventPrediction>,
     outcome: EndpointOutcome,
 }
 
@@ -39,6 +50,7 @@
             need,
             ticket: None,
             runs: false,
+            prediction: None,
             outcome: EndpointOutcome::Inconclusive,
         }
     }
@@ -72,11 +84,20 @@
         let mut state = self.core.state();
         if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
             let seed = need_key(&need);
-            endpoint.estimate.first_event_came(now, ticket, &need, seed);
+            let took = endpoint.estimate.first_event_came(now, ticket, &need, seed);
+            self.prediction = took.map(|took| FirstEventPrediction {
+                expected: ticket.expected(),
+                took,
+            });
             self.runs = true;
         }
     }
 
+    /// Returns how the time of the first event was predicted, once it has come.
+    pub const fn prediction(&self) -> Option<FirstEventPrediction> {
+        self.prediction
+    }
+
     /// Notes that an event came.
     pub fn heard(&self) {
         let now = self.core.now();
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -17,7 +17,7 @@
 use crate::endpoint_pool::EndpointConnection;
 use crate::entry::EntryCore;
 use crate::event_splitter::{EventRun, EventSplitter};
-use crate::send_guard::SendGuard;
+use crate::send_guard::{FirstEventPrediction, SendGuard};
 
 /// Time beyond a call's end for which events that are under way are still passed on.
 const END_SLACK: Duration = Duration::from_millis(100);
@@ -120,6 +120,7 @@
     *response.status_mut() = source.head.status;
     *response.headers_mut() = core.dialect.answer_headers(&source.head.headers);
     *response.extensions_mut() = source.head.extensions.clone();
+    let prediction = source.guard.prediction();
     let mut relay = StreamRelay {
         core: Arc::clone(core),
         call: Arc::clone(call),
@@ -128,6 +129,7 @@
         last_id: call.head.resume_after,
         events: 0,
         first_event: call.arrived.elapsed(),
+        prediction,
         outcome: "caller-left",
     };
     metrics::histogram!("amaranth_first_event_seconds").record(relay.first_event.as_secs_f64());
@@ -157,6 +159,7 @@
     last_id: Option<u64>,
     events: u32,
     first_event: Duration,
+    prediction: Option<FirstEventPrediction>,
     outcome: &'static str,
 }
 
@@ -263,7 +266,7 @@
         let took = self.call.arrived.elapsed();
         metrics::histogram!("amaranth_call_seconds").record(took.as_secs_f64());
         log::info!(
-            "event=call id={} route={} kind={} endpoint={} outcome={} adapter={} status=200 first_ms={} took_ms={} events={} sends={} config={}",
+            "event=call id={} route={} kind={} endpoint={} outcome={} adapter={} status=200 predicted_ms={} engine_ms={} first_ms={} took_ms={} events={} sends={} config={}",
             self.call.head.id,
             self.call.route.name,
             self.call.route.kind,
@@ -272,6 +275,10 @@
                 .map_or("-", |source| source.guard.endpoint().as_str()),
             self.outcome,
             self.call.adapter_name(),
+            self.prediction
+                .map_or(0, |prediction| prediction.expected.as_millis()),
+            self.prediction
+                .map_or(0, |prediction| prediction.took.as_millis()),
             self.first_event.as_millis(),
             took.as_millis(),
             self.events,
