--- a/crates/amaranth-follow/src/task.rs
+++ b/crates/amaranth-follow/src/task.rs
@@ -125,7 +125,7 @@
             request.revision,
             request.index,
         );
-        // A requester that has gone needs no part.
+        // A process that asked and has gone needs no part.
         let _ = request.reply.send(part);
     }
 
