--- a/crates/amaranth-ctl/src/arguments.rs
+++ b/crates/amaranth-ctl/src/arguments.rs
@@ -53,6 +53,10 @@
                          process has ended
       --timeout TIME     Longest wait for the log and for daemons, such as 30s [15s]
 
+Options of explain:
+      --logs FILE        Follows a call by its id through this log instead of asking daemons; may
+                         be repeated
+
 Options of history:
       --limit N          Most changes that are shown, newest last [50]
 ";
@@ -99,7 +103,12 @@
         limit: usize,
     },
     /// `explain`
-    Explain(String),
+    Explain {
+        /// The request, adapter or endpoint.
+        word: String,
+        /// Logs of the processes; without any, the daemons themselves are asked.
+        logs: Vec<PathBuf>,
+    },
     /// `drain`
     Drain(DrainOptions),
 }
@@ -170,6 +179,7 @@
     wait: bool,
     timeout: Duration,
     limit: usize,
+    logs: Vec<PathBuf>,
 }
 
 impl Default for OptionValues {
@@ -186,6 +196,7 @@
             wait: false,
             timeout: DEFAULT_TIMEOUT,
             limit: DEFAULT_LIMIT,
+            logs: Vec::new(),
         }
     }
 }
@@ -257,6 +268,7 @@
             "timeout" => {
                 self.timeout = parser.value()?.parse_with(humantime::parse_duration)?;
             }
+            "logs" => self.logs.push(parser.value()?.into()),
             "limit" => self.limit = parser.value()?.parse()?,
             unknown => return Err(Long(unknown).unexpected()),
         }
@@ -287,7 +299,10 @@
             CommandName::Apply => Command::Apply(self.apply_options(operand("a folder")?.into())),
             CommandName::Status => Command::Status,
             CommandName::History => Command::History { limit: self.limit },
-            CommandName::Explain => Command::Explain(operand("a word to look for")?),
+            CommandName::Explain => Command::Explain {
+                word: operand("a word to look for")?,
+                logs: self.logs.clone(),
+            },
             CommandName::Drain => Command::Drain(DrainOptions {
                 name: operand("a process or an address")?,
                 wait: self.wait,
--- a/crates/amaranth-ctl/src/commands/mod.rs
+++ b/crates/amaranth-ctl/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod edit_list;
 mod explain;
+mod explain_logs;
 mod history;
 mod status;
 
@@ -32,7 +33,10 @@
         Command::Apply(options) => apply::run(&options, settings, output).await,
         Command::Status => status::run(settings, output).await,
         Command::History { limit } => history::run(limit, settings, output).await,
-        Command::Explain(word) => explain::run(&word, settings, output).await,
+        Command::Explain { word, logs } if logs.is_empty() => {
+            explain::run(&word, settings, output).await
+        }
+        Command::Explain { word, logs } => explain_logs::run(&word, &logs, output),
         Command::Drain(options) => drain::run(&options, settings, output).await,
     }
 }
--- a/crates/amaranth-ctl/tests/ctl/main.rs
+++ b/crates/amaranth-ctl/tests/ctl/main.rs
@@ -2,5 +2,6 @@
 
 mod applying;
 mod checking;
+mod explaining;
 mod fleet;
 mod support;
