End an endpoint's earlier start when it has started again

Ruled out: fencing tokens (had at once), the store (up).

The book removes an earlier start at the address of a later one, and one at whose address another endpoint answers; an agent ignores reports that mean an earlier start than the one that answers.

--- a/crates/amaranth-dispatch/src/adapter_shelf.rs
+++ b/crates/amaranth-dispatch/src/adapter_shelf.rs
@@ -203,7 +203,13 @@
     }
 
     /// Takes an entry's use of the engine.
+    ///
+    /// A report that means an earlier start of the engine than the one that answers is ignored:
+    /// the registry lists an endpoint for some time after it has ended.
     pub fn take_usage(&mut self, now: Timestamp, report: UsageReport) {
+        if self.is_of_earlier_start(&report) {
+            return;
+        }
         if self.endpoint.as_ref() != Some(&report.endpoint) {
             self.endpoint = Some(report.endpoint.clone());
             self.usage.clear();
@@ -327,6 +333,14 @@
         };
     }
 
+    fn is_of_earlier_start(&self, report: &UsageReport) -> bool {
+        let answering = self
+            .contents
+            .as_ref()
+            .and_then(|contents| contents.started_ms);
+        report.started_ms.is_some() && answering.is_some() && report.started_ms != answering
+    }
+
     fn touch(&mut self, now: Timestamp, wish: &LoadWish) {
         if let Some(adapter) = &wish.adapter {
             self.last_used
--- a/crates/amaranth-dispatch/src/endpoint_book.rs
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -238,6 +238,14 @@
     Inconclusive,
 }
 
+/// Returns whether `earlier` is another endpoint at the address of `later` that started before it.
+fn started_before(earlier: &EndpointRecord, later: &EndpointRecord) -> bool {
+    earlier.address == later.address
+        && earlier.id != later.id
+        && earlier.started_ms.is_some()
+        && earlier.started_ms < later.started_ms
+}
+
 /// All endpoints that the entry knows.
 #[derive(Debug, Default)]
 pub struct EndpointBook {
@@ -389,10 +397,14 @@
     fn announce(&mut self, record: EndpointRecord) -> BookChange {
         if let Some((started, sequence)) = self.departed.get(&record.id)
             && *started == record.started_ms
-            && record.sequence < *sequence
+            && record.sequence <= *sequence
         {
             return BookChange::Unchanged;
         }
+        if self.is_superseded(&record) {
+            return BookChange::Unchanged;
+        }
+        self.remove_superseded(&record);
         let Some(state) = self.endpoints.get_mut(&record.id) else {
             let id = record.id.clone();
             self.departed.remove(&id);
@@ -426,6 +438,32 @@
         }
     }
 
+    /// Notes that another endpoint answers at an endpoint's address: it is gone.
+    pub fn note_replaced(&mut self, id: &EndpointId) -> BookChange {
+        self.remove(id)
+    }
+
+    /// Returns whether an endpoint that started later is known at a record's address. The registry
+    /// lists an endpoint for some time after it has ended.
+    fn is_superseded(&self, record: &EndpointRecord) -> bool {
+        self.endpoints
+            .values()
+            .any(|known| started_before(record, &known.record))
+    }
+
+    /// Removes the endpoints that started before a record's at its address.
+    fn remove_superseded(&mut self, record: &EndpointRecord) {
+        let superseded: Vec<EndpointId> = self
+            .endpoints
+            .values()
+            .filter(|known| started_before(&known.record, record))
+            .map(|known| known.record.id.clone())
+            .collect();
+        for id in superseded {
+            self.remove(&id);
+        }
+    }
+
     /// Takes what an agent said of its engine.
     pub fn take_view(&mut self, now: Timestamp, id: &EndpointId, view: EngineView) {
         if let Some(state) = self.endpoints.get_mut(id) {
@@ -527,12 +565,14 @@
         let mut report = UsageReport {
             entry: entry.to_owned(),
             endpoint: id.clone(),
+            started_ms: None,
             uses: Vec::new(),
             calls: 0,
         };
         let Some(state) = self.endpoints.get_mut(id) else {
             return report;
         };
+        report.started_ms = state.record.started_ms;
         report.uses.clone_from(&state.uses);
         report.calls = state.calls;
         for (model, name) in state.touched.drain(..) {
--- a/crates/amaranth-dispatch/src/engine_view.rs
+++ b/crates/amaranth-dispatch/src/engine_view.rs
@@ -84,6 +84,8 @@
     pub entry: String,
     /// The endpoint that it means.
     pub endpoint: EndpointId,
+    /// When that endpoint started, in milliseconds of its own wall clock, if it says so.
+    pub started_ms: Option<u64>,
     /// Its calls in flight, by adapter.
     pub uses: Vec<AdapterUse>,
     /// Calls in flight, with and without an adapter.
--- a/crates/amaranth-dispatch/tests/adapter_shelf.rs
+++ b/crates/amaranth-dispatch/tests/adapter_shelf.rs
@@ -19,6 +19,7 @@
     UsageReport {
         entry: entry.to_owned(),
         endpoint: name("e"),
+        started_ms: None,
         uses: uses
             .iter()
             .map(|(adapter, calls)| AdapterUse {
@@ -323,3 +324,26 @@
         None::<Duration>
     );
 }
+
+/// After all VMs lost power the registry lists the engine's last start beside its new one. Entries
+/// that mean the old one must not take the agent from the others.
+#[test]
+fn a_report_of_an_earlier_start_does_not_move_the_agent() {
+    let mut shelf = AdapterShelf::default();
+    let mut started = contents(&[]);
+    started.started_ms = Some(9);
+    shelf.observe(at(0), started);
+    let current = UsageReport {
+        started_ms: Some(9),
+        ..usage("entry", &[])
+    };
+    shelf.take_usage(at(0), current);
+    let ended = UsageReport {
+        endpoint: name("old"),
+        started_ms: Some(5),
+        ..usage("other", &[("x", 1)])
+    };
+    shelf.take_usage(at(1), ended);
+    assert_eq!(shelf.endpoint(), Some(&name("e")));
+    assert!(shelf.view(at(1)).in_use.is_empty());
+}
--- a/crates/amaranth-dispatch/tests/endpoint_book.rs
+++ b/crates/amaranth-dispatch/tests/endpoint_book.rs
@@ -195,3 +195,42 @@
     assert_eq!(state.is_shunned(NOW), shunned);
     assert!(!state.is_shunned(NOW + Duration::from_secs(1)));
 }
+
+fn at_address(id: &str, port: u16, started_ms: u64) -> EndpointRecord {
+    let mut record = engine(id, "a1", &[]);
+    record.address.set_port(port);
+    record.started_ms = Some(started_ms);
+    record
+}
+
+/// After all VMs lost power the registry lists each endpoint's last start beside its new one.
+#[test]
+fn a_later_start_at_an_address_ends_the_earlier_one() {
+    let mut book = EndpointBook::default();
+    announced(&mut book, at_address("old", 1, 100));
+    announced(&mut book, at_address("other", 2, 100));
+    announced(&mut book, at_address("new", 1, 200));
+    assert!(book.get(&name("old")).is_none());
+    assert_eq!(
+        announced(&mut book, at_address("old", 1, 100)),
+        BookChange::Unchanged
+    );
+    let late = EndpointRecord {
+        sequence: 99,
+        ..at_address("old", 1, 100)
+    };
+    assert_eq!(announced(&mut book, late), BookChange::Unchanged);
+    assert_eq!(book.len(), 2);
+}
+
+#[test]
+fn an_endpoint_at_whose_address_another_answers_is_gone() {
+    let mut book = EndpointBook::default();
+    announced(&mut book, at_address("old", 1, 100));
+    assert_eq!(book.note_replaced(&name("old")), BookChange::Gone);
+    assert_eq!(
+        announced(&mut book, at_address("old", 1, 100)),
+        BookChange::Unchanged
+    );
+    assert!(book.is_empty());
+}
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -710,7 +710,7 @@
         (false, false) => SendFailure::Failed,
     };
     if failure == SendFailure::Misdirected {
-        note_missing(core, call, guard.endpoint());
+        note_misdirected(core, call, guard.endpoint(), &facts);
     }
     let status = response.status();
     let whole = read_whole(call, response).await;
@@ -735,8 +735,15 @@
     Err(FailedSend { failure, answer })
 }
 
-/// Corrects what is believed of an engine that lacks the adapter.
-fn note_missing(core: &EntryCore, call: &Call, endpoint: &EndpointId) {
+/// Corrects what is believed of an endpoint that refused a call as misdirected: another one has
+/// its address, or it lacks the adapter.
+fn note_misdirected(core: &EntryCore, call: &Call, endpoint: &EndpointId, facts: &AnswerFacts) {
+    let other = facts.answered_by.as_deref();
+    if let Some(other) = other.filter(|other| *other != endpoint.as_str()) {
+        let change = core.state().book.note_replaced(endpoint);
+        log::info!("event=endpoint endpoint={endpoint} change={change} replaced_by={other}");
+        return;
+    }
     let Some(need) = &call.need else {
         return;
     };
--- a/crates/amaranth-relay/src/dialect.rs
+++ b/crates/amaranth-relay/src/dialect.rs
@@ -44,6 +44,8 @@
     pub authenticated: bool,
     /// The id of the call that it answers, if it says so.
     pub call_id: Option<String>,
+    /// The endpoint that answered, if it says so.
+    pub answered_by: Option<String>,
     /// Whether the body is a stream of events.
     pub is_event_stream: bool,
     /// Whether the body is encoded, which no caller asks for.
--- a/crates/amaranth-relay/tests/relay/calls.rs
+++ b/crates/amaranth-relay/tests/relay/calls.rs
@@ -258,3 +258,19 @@
     caller.write_all(request.as_bytes()).await.expect("written");
     assert_eq!(status(&read_to_end(&mut caller).await), "400");
 }
+
+/// The registry still lists an endpoint that has ended, and another one has its address.
+#[tokio::test]
+async fn an_endpoint_that_has_ended_is_asked_once() {
+    let other = "HTTP/1.1 421 Other\r\nBy: e9\r\nContent-Length: 0\r\n\r\n".to_owned();
+    let ended = FakeEndpoint::bind(vec![Reply::Write(other)]).await;
+    let well = FakeEndpoint::bind(vec![
+        Reply::Write(whole("200 OK", "c1", "one")),
+        Reply::Write(whole("200 OK", "c2", "two")),
+    ])
+    .await;
+    let entry = TestEntry::serving(route(RouteKind::NonIdempotent, false, 1), &[&ended, &well]);
+    assert!(entry.call(&post("c1", "")).await.ends_with("one"));
+    assert!(entry.call(&post("c2", "")).await.ends_with("two"));
+    assert_eq!(ended.arrivals().len(), 1);
+}
--- a/crates/amaranth-relay/tests/relay/loads.rs
+++ b/crates/amaranth-relay/tests/relay/loads.rs
@@ -131,6 +131,7 @@
     UsageReport {
         entry: "entry".to_owned(),
         endpoint: name("e"),
+        started_ms: None,
         uses: Vec::new(),
         calls: uses,
     }
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -30,6 +30,7 @@
 const LEFT: HeaderName = HeaderName::from_static("left-ms");
 const AFTER: HeaderName = HeaderName::from_static("after-event");
 const PROOF: HeaderName = HeaderName::from_static("proof");
+const ANSWERED_BY: HeaderName = HeaderName::from_static("by");
 const WANTS: HeaderName = HeaderName::from_static("wants");
 const UNTOUCHED: HeaderName = HeaderName::from_static("untouched");
 
@@ -92,6 +93,7 @@
             misdirected: head.status == http::StatusCode::MISDIRECTED_REQUEST,
             authenticated: head.headers.contains_key(PROOF),
             call_id: text(&head.headers, &CALL),
+            answered_by: text(&head.headers, &ANSWERED_BY),
             is_event_stream: text(&head.headers, &http::header::CONTENT_TYPE).as_deref()
                 == Some("text/event-stream"),
             is_encoded: false,
