Send callers away for longer while nothing is known

Ruled out: waiting with the call, which the users do not want. An entry without a configuration or endpoints now says 1.5 s; callers cap it by their time.

--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -47,6 +47,10 @@
 /// When a refused caller may come back, where no better time is known.
 const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
+/// When a caller may come back to an entry that knows no configuration or no endpoint: reading
+/// the platform's tables takes about this long once they can be reached.
+const UNKNOWING_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Largest body of an answer that is not a stream, in bytes.
 const MAX_WHOLE_ANSWER: usize = 16 << 20;
 
@@ -183,7 +187,7 @@
     let Some(table) = core.table() else {
         return Err((
             head,
-            Refusal::after(RefusalCause::NoConfig, DEFAULT_RETRY_AFTER),
+            Refusal::after(RefusalCause::NoConfig, UNKNOWING_RETRY_AFTER),
         ));
     };
     let Some(route) = table.find(&head.host, &head.path).cloned() else {
@@ -346,12 +350,12 @@
         .or_else(|| service_picker::pick(now, &state.book, locality, &call.service, &[]));
     let Some(endpoint) = picked else {
         let known = service_picker::has_endpoint(&state.book, &call.service);
-        let cause = if known {
-            RefusalCause::Overloaded
+        let refusal = if known {
+            Refusal::after(RefusalCause::Overloaded, service_picker::FULL_RETRY_AFTER)
         } else {
-            RefusalCause::NoEndpoint
+            Refusal::after(RefusalCause::NoEndpoint, UNKNOWING_RETRY_AFTER)
         };
-        return Err(Refusal::after(cause, service_picker::FULL_RETRY_AFTER));
+        return Err(refusal);
     };
     let address = state.book.get(&endpoint).map(|known| known.record.address);
     drop(state);
