--- a/crates/amaranth-dispatch/src/load_gate.rs
+++ b/crates/amaranth-dispatch/src/load_gate.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers the load in which calls for many cold adapters come together: beyond a number of loads
 //! that nobody tells, all of the fleet's take longer in proportion, so more at once serve nobody
-//! sooner. The gate finds its share by the time that loads take: it opens while they are as fast
-//! as the fastest ones and closes when they are slower. Waiting loads go by rank, then by age.
+//! sooner. The gate finds its share by the time that loads take: it opens while they take the usual
+//! time and closes when they are much slower. Waiting loads go by rank, then by age.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 const MOST_LIMIT: f64 = 24.0;
 
 /// A load this many times as long as the fastest ones shows that too many are under way.
-const SLOW_FACTOR: f64 = 1.7;
+const SLOW_FACTOR: f64 = 1.35;
 
 /// What is left of the limit after a slow load.
 const BACK_OFF: f64 = 0.8;
@@ -28,8 +28,17 @@
 /// Time between two steps back: the loads under way were started before the first one.
 const BACK_OFF_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Weight of a load that is faster than the known fastest, so that one outlier does not decide.
-const FASTEST_WEIGHT: f64 = 0.3;
+/// A load this short a part of a usual one was at hand and says nothing of the store.
+const AT_HAND_PART: f64 = 0.5;
+
+/// Weight of a load that is faster than usual.
+const FASTER_WEIGHT: f64 = 0.1;
+
+/// Weight of a load that is slower than usual: small, so that crowding does not become usual.
+const SLOWER_WEIGHT: f64 = 0.01;
+
+/// Weight of the newest load in what loads take now.
+const CURRENT_WEIGHT: f64 = 0.2;
 
 /// The time of a load from the weight store before one was seen.
 const ASSUMED_LOAD_TIME: Duration = Duration::from_millis(260);
@@ -43,7 +52,8 @@
 pub struct LoadGate {
     limit: f64,
     under_way: u32,
-    usual: Duration,
+    usual: f64,
+    current: f64,
     waiting: BTreeMap<(u8, LoadTicket), ()>,
     tickets: u64,
     backed_off_at: Option<Timestamp>,
@@ -54,7 +64,8 @@
         Self {
             limit: FIRST_LIMIT,
             under_way: 0,
-            usual: ASSUMED_LOAD_TIME,
+            usual: ASSUMED_LOAD_TIME.as_secs_f64(),
+            current: ASSUMED_LOAD_TIME.as_secs_f64(),
             waiting: BTreeMap::new(),
             tickets: 0,
             backed_off_at: None,
@@ -91,14 +102,21 @@
     /// Notes that a load under way ended; `took` is given if it was carried out.
     pub fn ended(&mut self, now: Timestamp, took: Option<Duration>) {
         self.under_way = self.under_way.saturating_sub(1);
-        let Some(took) = took else {
+        let Some(took) = took.map(|took| took.as_secs_f64()) else {
             return;
         };
-        if took < self.usual {
-            let faster = self.usual.saturating_sub(took).mul_f64(FASTEST_WEIGHT);
-            self.usual -= faster;
+        if took < self.usual * AT_HAND_PART {
+            return;
         }
-        if took > self.usual.mul_f64(SLOW_FACTOR) {
+        let weight = if took < self.usual {
+            FASTER_WEIGHT
+        } else {
+            SLOWER_WEIGHT
+        };
+        let slow = took > self.usual * SLOW_FACTOR;
+        self.usual += weight * (took - self.usual);
+        self.current += CURRENT_WEIGHT * (took - self.current);
+        if slow {
             self.back_off(now);
         } else {
             self.limit = (self.limit + 1.0 / self.limit).min(MOST_LIMIT);
@@ -112,7 +130,7 @@
         if ahead <= 0.0 {
             return Duration::ZERO;
         }
-        self.usual.mul_f64(ahead / self.limit)
+        Duration::from_secs_f64(self.current * ahead / self.limit)
     }
 
     /// Returns the loads that may be under way at once.
--- a/crates/amaranth-dispatch/src/stop_policy.rs
+++ b/crates/amaranth-dispatch/src/stop_policy.rs
@@ -15,8 +15,11 @@
 /// The balancer needs about as long to send callers elsewhere.
 const EARLY_TIME: Duration = Duration::from_millis(2_500);
 
-/// Factor of the expected time within which nearly all calls end.
-const SAFETY: f64 = 1.6;
+/// Factor of the expected time within which most calls end.
+const EARLY_SAFETY: f64 = 1.6;
+
+/// Objectives of a call within which it ends also at a slow endpoint.
+const LATE_OBJECTIVES: u32 = 4;
 
 /// Time for which a process is away when it starts again.
 pub const RESTART_TIME: Duration = Duration::from_millis(1_200);
@@ -34,9 +37,7 @@
     /// The objective of its route.
     pub objective: Duration,
     /// Tokens that it is expected to generate, if it is a generation. Hints are often far off.
-    pub tokens: u32,
-    /// Tokens that it generates at most.
-    pub most_tokens: u32,
+    pub tokens: Option<u32>,
 }
 
 impl StopPolicy {
@@ -53,12 +54,16 @@
         self.asked_at
     }
 
-    /// Returns whether a call that arrives now ends in time.
+    /// Returns whether a call that arrives now ends in time. What a generation takes is known only
+    /// when it has ended, so none is taken once the balancer has had time to send callers elsewhere.
     pub fn takes(&self, now: Timestamp, call: ExpectedCall) -> bool {
         let early = now.since(self.asked_at) < EARLY_TIME;
-        let tokens = if early { call.tokens } else { call.most_tokens };
-        let expected = call.objective + TOKEN_TIME * tokens;
-        now + expected.mul_f64(SAFETY) < self.last_end
+        let expected = match call.tokens {
+            Some(tokens) if early => (call.objective + TOKEN_TIME * tokens).mul_f64(EARLY_SAFETY),
+            Some(_) => return false,
+            None => call.objective * LATE_OBJECTIVES,
+        };
+        now + expected < self.last_end
     }
 
     /// Returns when a caller that is not served may come back: when the process has started again.
--- a/crates/amaranth-dispatch/tests/load_gate.rs
+++ b/crates/amaranth-dispatch/tests/load_gate.rs
@@ -151,3 +151,52 @@
     }
     assert!(gate.limit() >= 1.0);
 }
+
+/// Some loads turn out to be at hand and take a fraction of the time. They say nothing of the
+/// store, and usual loads must not look slow beside them.
+#[test]
+fn loads_that_were_at_hand_do_not_close_the_gate() {
+    let mut gate = LoadGate::default();
+    for index in 0..200_u64 {
+        gate.ask(0);
+        assert!(gate.grant().is_some());
+        let took = if index % 5 == 0 { 30 } else { 262 };
+        let now = Timestamp::from_millis(index * 400);
+        gate.ended(now, Some(Duration::from_millis(took)));
+    }
+    assert!(gate.limit() >= 8.0, "limit {}", gate.limit());
+}
+
+/// Loads of a larger adapter take longer than was assumed, however few run at once.
+#[test]
+fn a_store_with_longer_loads_opens_the_gate_too() {
+    let mut gate = LoadGate::default();
+    for index in 0..120_u64 {
+        gate.ask(0);
+        assert!(gate.grant().is_some());
+        let now = Timestamp::from_millis(index * 1_000);
+        gate.ended(now, Some(Duration::from_millis(800)));
+    }
+    assert!(gate.limit() >= 4.0, "limit {}", gate.limit());
+}
+
+#[test]
+fn the_expected_wait_follows_what_loads_take_now() {
+    let mut gate = LoadGate::default();
+    for second in 0..20 {
+        gate.ask(0);
+        gate.grant();
+        gate.ended(
+            Timestamp::from_millis(second * 1_000),
+            Some(Duration::from_secs(2)),
+        );
+    }
+    for _ in 0..10 {
+        gate.ask(0);
+    }
+    assert!(
+        gate.expected_wait() > Duration::from_secs(2),
+        "{:?}",
+        gate.expected_wait()
+    );
+}
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -243,8 +243,7 @@
         tokens: head
             .generation
             .as_ref()
-            .map_or(0, GenerationNeed::expected_output),
-        most_tokens: head.generation.as_ref().map_or(0, |need| need.output_limit),
+            .map(GenerationNeed::expected_output),
     };
     if policy.takes(now, expected) {
         return None;
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -31,8 +31,9 @@
 use crate::readiness::{EntryStage, StageCell};
 use crate::suspend_clock::SuspendClock;
 
-/// Time for which a read of the configuration waits for a change.
-const CONFIG_WAIT: Duration = Duration::from_millis(4_500);
+/// Part of the bound on configurations for which a read waits for a change. A read whose wait the
+/// store does not end when a change comes still brings it in time.
+const CONFIG_PART: f64 = 0.6;
 
 /// Least time between two reads of the configuration.
 const CONFIG_INTERVAL: Duration = Duration::from_millis(250);
@@ -87,6 +88,8 @@
     pub retry_slack: u32,
     /// Entries of the fleet, at most.
     pub entries: u32,
+    /// The time within which a configuration has to be in force.
+    pub config_bound: Duration,
     /// The time within which an endpoint that leaves gets no new calls.
     pub leave_bound: Duration,
     /// How long the process may take to stop.
@@ -511,7 +514,7 @@
     let registry_core = Arc::clone(core);
     let config_options = FeedOptions {
         name: "configuration",
-        wait: CONFIG_WAIT,
+        wait: core.options.config_bound.mul_f64(CONFIG_PART),
         interval: CONFIG_INTERVAL,
     };
     let registry_options = FeedOptions {
--- a/crates/amaranth-relay/tests/relay/feeds.rs
+++ b/crates/amaranth-relay/tests/relay/feeds.rs
@@ -9,7 +9,7 @@
 
 const OPTIONS: FeedOptions = FeedOptions {
     name: "test",
-    wait: Duration::from_millis(3_000),
+    wait: Duration::from_millis(1_500),
     interval: Duration::from_millis(250),
 };
 
@@ -133,6 +133,53 @@
     }
 }
 
+/// A table whose waiting reads are not ended by a change, as after the platform dropped a history.
+struct DeafTable {
+    started: Instant,
+    appended: Duration,
+}
+
+impl FeedSource for DeafTable {
+    type Item = u64;
+
+    async fn read_all(&mut self) -> Result<FeedBatch<u64>, FeedError> {
+        Ok(FeedBatch {
+            items: Vec::new(),
+            position: 0,
+        })
+    }
+
+    async fn read_since(&mut self, _: u64, wait: Duration) -> Result<FeedBatch<u64>, FeedError> {
+        sleep(wait).await;
+        let items = if self.started.elapsed() >= self.appended {
+            vec![8]
+        } else {
+            Vec::new()
+        };
+        Ok(FeedBatch { items, position: 0 })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn news_are_seen_within_the_bound_when_waiting_reads_are_deaf() {
+    let started = Instant::now();
+    let appended = Duration::from_millis(4_730);
+    let table = DeafTable { started, appended };
+    let seen = Arc::new(Mutex::new(None));
+    let taken = Arc::clone(&seen);
+    let following = follow(table, OPTIONS, move |event| {
+        if event == FeedEvent::Changes(vec![8]) {
+            taken
+                .lock()
+                .expect("no panic")
+                .get_or_insert(started.elapsed());
+        }
+    });
+    let _ = timeout(Duration::from_secs(10), following).await;
+    let seen = seen.lock().expect("no panic").expect("seen");
+    assert!(seen - appended <= Duration::from_millis(2_000), "{seen:?}");
+}
+
 /// A table whose position is lost once.
 struct ForgetfulTable {
     answers: VecDeque<Result<FeedBatch<u64>, FeedError>>,
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -354,6 +354,7 @@
             retry_ratio: 0.2,
             retry_slack: 50,
             entries: 1,
+            config_bound: Duration::from_secs(2),
             leave_bound: Duration::from_secs(2),
             stop_grace: Duration::from_secs(2),
         };
