Split the life of a call and the entry's tasks into modules

The loggers share their format, the programs their way of reading settings, the two listeners their accept loop.

--- a/crates/amaranth-dispatch/src/routes.rs
+++ b/crates/amaranth-dispatch/src/routes.rs
@@ -60,7 +60,12 @@
 impl RouteRule {
     /// Returns whether a call may run a second time.
     pub fn is_repeatable(&self) -> bool {
-        self.kind == RouteKind::Idempotent || (self.kind == RouteKind::Stream && self.resumable)
+        self.kind == RouteKind::Idempotent || self.may_resume()
+    }
+
+    /// Returns whether a broken stream may go on at another engine.
+    pub fn may_resume(&self) -> bool {
+        self.kind == RouteKind::Stream && self.resumable
     }
 
     /// Returns the service of the call whose id hashes to `seed`.
--- a/crates/amaranth-relay/src/caller_server.rs
+++ b/crates/amaranth-relay/src/caller_server.rs
@@ -15,6 +15,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tokio::time::sleep;
 
 use crate::answer_body::{self, AnswerBody};
 use crate::call_task;
@@ -36,6 +37,9 @@
 /// Headers of one call at most.
 const MAX_HEADERS: usize = 100;
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
 
@@ -129,6 +133,19 @@
     }
 }
 
+/// Accepts the next connection. An error, such as too few descriptors, is waited out.
+async fn accept(listener: &TcpListener) -> TcpStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(error) => {
+                log::warn!("event=accept_failed error={error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
 async fn accept_callers(
     listener: TcpListener,
     core: Arc<EntryCore>,
@@ -136,14 +153,7 @@
     open: Arc<AtomicUsize>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("event=accept_failed error={error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         if open.fetch_add(1, Ordering::Relaxed) >= MAX_CALLER_CONNECTIONS {
             open.fetch_sub(1, Ordering::Relaxed);
             log::warn!("event=caller_refused reason=connections");
@@ -205,14 +215,7 @@
 
 async fn answer_readiness(listener: TcpListener, core: Arc<EntryCore>) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("event=accept_failed error={error}");
-                tokio::time::sleep(Duration::from_millis(20)).await;
-                continue;
-            }
-        };
+        let stream = accept(&listener).await;
         let core = Arc::clone(&core);
         tokio::spawn(async move {
             let service = service_fn(move |request: Request<Incoming>| {
--- /dev/null
+++ b/crates/amaranth-relay/src/endpoint_choice.rs
@@ -0,0 +1,266 @@
+//! Choosing an endpoint for a call, and having an engine hold the adapter first.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_core::ids::EndpointId;
+use amaranth_dispatch::attempts::AttemptHistory;
+use amaranth_dispatch::call::GenerationNeed;
+use amaranth_dispatch::endpoint_book::EndpointState;
+use amaranth_dispatch::engine_placer::{self, EngineChoice, PlaceQuery, PlaceReason};
+use amaranth_dispatch::engine_view::LoadOutcome;
+use amaranth_dispatch::place_line::LinePosition;
+use amaranth_dispatch::refusal::{Refusal, RefusalCause};
+use amaranth_dispatch::routes::EngineRule;
+use amaranth_dispatch::service_picker;
+use smallvec::SmallVec;
+use tokio::time::{Instant, timeout_at};
+
+use crate::entry::{EntryCore, LoadTerms};
+use crate::load_waits::LoadKey;
+use crate::routed_call::Call;
+use crate::send_guard::SendGuard;
+
+/// Time for which a call waits for an adapter before it is placed anew, in objectives.
+const LOAD_PATIENCE_OBJECTIVES: u32 = 2;
+
+/// Part of the objective for which a call waits for a place at an engine.
+const PLACE_PATIENCE_PART: f64 = 0.6;
+
+/// Time after which a call in line looks again, without news.
+const LINE_INTERVAL: Duration = Duration::from_millis(80);
+
+/// Placements of one call before it is refused.
+const MAX_PLACEMENTS: u32 = 4;
+
+/// When a refused caller may come back, where no better time is known.
+pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
+
+/// When a caller may come back to an entry that knows no configuration or no endpoint: reading
+/// the platform's tables takes about this long once they can be reached.
+pub const UNKNOWING_RETRY_AFTER: Duration = Duration::from_millis(1_500);
+
+/// An endpoint that was chosen for a call.
+#[derive(Debug)]
+pub struct ChosenEndpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The call's place there.
+    pub guard: SendGuard,
+    /// The adapter's version that the call needs.
+    pub adapter_version: Option<u64>,
+}
+
+/// Chooses an endpoint, and has an engine hold the adapter first.
+pub async fn choose(
+    core: &Arc<EntryCore>,
+    call: &Call,
+    history: &AttemptHistory,
+) -> Result<ChosenEndpoint, Refusal> {
+    match (&call.need, &call.engine) {
+        (Some(need), Some(engine)) => choose_engine(core, call, history, need, engine).await,
+        _ => choose_service(core, call, history),
+    }
+}
+
+fn choose_service(
+    core: &Arc<EntryCore>,
+    call: &Call,
+    history: &AttemptHistory,
+) -> Result<ChosenEndpoint, Refusal> {
+    let now = core.now();
+    let state = core.state();
+    let locality = &core.options.locality;
+    let picked = service_picker::pick(now, &state.book, locality, &call.service, history.tried())
+        .or_else(|| service_picker::pick(now, &state.book, locality, &call.service, &[]));
+    let Some(endpoint) = picked else {
+        let known = service_picker::has_endpoint(&state.book, &call.service);
+        let refusal = if known {
+            Refusal::after(RefusalCause::Overloaded, service_picker::FULL_RETRY_AFTER)
+        } else {
+            Refusal::after(RefusalCause::NoEndpoint, UNKNOWING_RETRY_AFTER)
+        };
+        return Err(refusal);
+    };
+    let address = state.book.get(&endpoint).map(|known| known.record.address);
+    drop(state);
+    let address = address.ok_or(Refusal::after(
+        RefusalCause::NoEndpoint,
+        DEFAULT_RETRY_AFTER,
+    ))?;
+    Ok(ChosenEndpoint {
+        address,
+        guard: SendGuard::open(Arc::clone(core), endpoint, None),
+        adapter_version: None,
+    })
+}
+
+async fn choose_engine(
+    core: &Arc<EntryCore>,
+    call: &Call,
+    history: &AttemptHistory,
+    need: &Arc<GenerationNeed>,
+    engine: &EngineRule,
+) -> Result<ChosenEndpoint, Refusal> {
+    let mut outcome = LoadOutcome::Unavailable;
+    let mut excluded: SmallVec<[EndpointId; 4]> = history.tried().iter().cloned().collect();
+    for _ in 0..MAX_PLACEMENTS {
+        let placed = place_in_line(core, call, need, engine, &excluded).await?;
+        let PlacedCall {
+            choice,
+            address,
+            version,
+        } = placed;
+        if choice.first_event > call.time_left(core) {
+            let delay = choice.first_event.saturating_sub(call.route.objective);
+            return Err(Refusal::after(
+                RefusalCause::Overloaded,
+                delay.max(DEFAULT_RETRY_AFTER),
+            ));
+        }
+        let guard = SendGuard::open(
+            Arc::clone(core),
+            choice.endpoint.clone(),
+            Some(Arc::clone(need)),
+        );
+        if choice.reason != PlaceReason::Held {
+            let key = LoadKey {
+                endpoint: choice.endpoint.clone(),
+                model: need.model.clone(),
+                adapter: need.adapter.clone(),
+                version,
+            };
+            let terms = LoadTerms {
+                patience: (call.route.objective * LOAD_PATIENCE_OBJECTIVES)
+                    .min(call.time_left(core)),
+                from_store: choice.reason == PlaceReason::FreePlace,
+                rank: call.route.priority,
+            };
+            outcome = core.load(key, address, engine, terms).await;
+            if outcome != LoadOutcome::Held {
+                // A load that is only slow goes on, and is still the soonest.
+                if outcome != LoadOutcome::TimedOut {
+                    excluded.push(choice.endpoint);
+                }
+                continue;
+            }
+        }
+        if !is_open(core, &choice.endpoint) {
+            // It began to leave while the call waited for the load.
+            continue;
+        }
+        return Ok(ChosenEndpoint {
+            address,
+            guard,
+            adapter_version: version,
+        });
+    }
+    log::info!(
+        "event=adapter_wait_over id={} outcome={outcome}",
+        call.head.id
+    );
+    Err(Refusal::after(
+        RefusalCause::AdapterWait,
+        DEFAULT_RETRY_AFTER,
+    ))
+}
+
+/// Returns whether an endpoint still takes calls.
+pub fn is_open(core: &EntryCore, endpoint: &EndpointId) -> bool {
+    let state = core.state();
+    state.book.get(endpoint).is_some_and(EndpointState::is_open)
+}
+
+/// An engine that was chosen for a call.
+#[derive(Debug)]
+struct PlacedCall {
+    choice: EngineChoice,
+    address: SocketAddr,
+    version: Option<u64>,
+}
+
+/// A call's stay in the line for a place.
+struct LineStay<'a> {
+    core: &'a EntryCore,
+    position: LinePosition,
+}
+
+impl Drop for LineStay<'_> {
+    fn drop(&mut self) {
+        self.core.state().line.leave(self.position);
+    }
+}
+
+/// Chooses an engine; a call for which there is no place waits in line for a part of its
+/// objective.
+async fn place_in_line(
+    core: &Arc<EntryCore>,
+    call: &Call,
+    need: &GenerationNeed,
+    engine: &EngineRule,
+    excluded: &[EndpointId],
+) -> Result<PlacedCall, Refusal> {
+    let taken = core.state().line.is_taken(call.route.priority);
+    if !taken && let Some(placed) = place(core, call, need, engine, excluded) {
+        return Ok(placed);
+    }
+    let position = core.state().line.join(call.route.priority);
+    let stay = LineStay { core, position };
+    let patience = call.route.objective.mul_f64(PLACE_PATIENCE_PART);
+    let until = (Instant::now() + patience).min(call.expires);
+    while Instant::now() < until {
+        let changed = core.changed();
+        let wait = (Instant::now() + LINE_INTERVAL).min(until);
+        // Engines' estimates change with time too, so that nobody waits for news alone.
+        let _ = timeout_at(wait, changed).await;
+        if !core.state().line.may_try(stay.position) {
+            continue;
+        }
+        if let Some(placed) = place(core, call, need, engine, excluded) {
+            return Ok(placed);
+        }
+    }
+    let waiting = core.state().line.len();
+    log::info!(
+        "event=no_place id={} waited_ms={} line={waiting}",
+        call.head.id,
+        patience.as_millis()
+    );
+    Err(Refusal::after(
+        RefusalCause::AdapterWait,
+        DEFAULT_RETRY_AFTER,
+    ))
+}
+
+fn place(
+    core: &EntryCore,
+    call: &Call,
+    need: &GenerationNeed,
+    engine: &EngineRule,
+    excluded: &[EndpointId],
+) -> Option<PlacedCall> {
+    let now = core.now();
+    let state = core.state();
+    let version = need
+        .adapter
+        .as_ref()
+        .and_then(|adapter| state.versions.newest(&need.model, adapter));
+    let query = PlaceQuery {
+        service: &call.service,
+        engine,
+        need,
+        version,
+        excluded,
+        objective: call.route.objective,
+        spent: call.arrived.elapsed(),
+        load_wait: state.gate.expected_wait(),
+    };
+    let choice = engine_placer::place(now, &state.book, &core.options.locality, query)?;
+    let address = state.book.get(&choice.endpoint)?.record.address;
+    Some(PlacedCall {
+        choice,
+        address,
+        version,
+    })
+}
--- /dev/null
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -0,0 +1,60 @@
+//! A call that was read and routed.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use amaranth_core::ids::ServiceName;
+use amaranth_core::time::Timestamp;
+use amaranth_dispatch::call::{CallHead, GenerationNeed};
+use amaranth_dispatch::routes::{EngineRule, RouteRule};
+use bytes::Bytes;
+use http::{HeaderMap, Method, Uri};
+use tokio::time::Instant;
+
+use crate::entry::EntryCore;
+
+/// A call that was read and routed.
+#[derive(Debug)]
+pub struct Call {
+    /// Its head.
+    pub head: CallHead,
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub target: Uri,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// What the HTTP library keeps of it, such as the case of its headers.
+    pub extensions: http::Extensions,
+    /// Its body.
+    pub body: Bytes,
+    /// Its route.
+    pub route: Arc<RouteRule>,
+    /// The service that answers it.
+    pub service: ServiceName,
+    /// The engines of the service, if it has engines.
+    pub engine: Option<EngineRule>,
+    /// What it needs of an engine.
+    pub need: Option<Arc<GenerationNeed>>,
+    /// The version of the configuration under which it was routed.
+    pub config_version: u64,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller has gone, or the route's timeout is over.
+    pub expires: Instant,
+    /// The same on the clock that also counts while the VM is suspended.
+    pub expires_at: Timestamp,
+}
+
+impl Call {
+    /// Returns the adapter that the call names, for the log.
+    pub fn adapter_name(&self) -> &str {
+        let adapter = self.need.as_ref().and_then(|need| need.adapter.as_ref());
+        adapter.map_or("-", |adapter| adapter.as_str())
+    }
+
+    /// Returns how long the caller still waits.
+    pub fn time_left(&self, core: &EntryCore) -> Duration {
+        self.expires_at.since(core.now())
+    }
+}
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -13,10 +13,12 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer_body::{self, AnswerBody, AnswerBroken};
-use crate::call_task::{self, Call, FailedSend, OpenAnswer, SILENCE_INTERVAL, SendLimits};
+use crate::endpoint_choice::choose;
 use crate::endpoint_pool::EndpointConnection;
+use crate::endpoint_send::{FailedSend, OpenAnswer, SILENCE_INTERVAL, SendLimits, send};
 use crate::entry::EntryCore;
 use crate::event_splitter::{EventRun, EventSplitter};
+use crate::routed_call::Call;
 use crate::send_guard::{FirstEventPrediction, SendGuard};
 
 /// Time beyond a call's end for which events that are under way are still passed on.
@@ -220,7 +222,7 @@
             self.events,
             self.last_id.unwrap_or(0)
         );
-        if !call_task::may_resume(&self.call.route) || self.last_id.is_none() {
+        if !self.call.route.may_resume() || self.last_id.is_none() {
             return Err(AnswerBroken(reason));
         }
         let mut failure = SendFailure::Ambiguous;
@@ -233,7 +235,7 @@
             if step != NextStep::SendAgain || Instant::now() >= self.call.expires {
                 return Err(AnswerBroken(reason));
             }
-            let chosen = call_task::choose(&self.core, &self.call, &self.history)
+            let chosen = choose(&self.core, &self.call, &self.history)
                 .await
                 .map_err(|refusal| AnswerBroken(format!("{reason}; {}", refusal.cause)))?;
             endpoint = chosen.guard.endpoint().clone();
@@ -241,7 +243,7 @@
                 resume_after: self.last_id,
                 may_move: self.may_move(),
             };
-            match call_task::send(&self.core, &self.call, chosen, limits).await {
+            match send(&self.core, &self.call, chosen, limits).await {
                 Ok(answer) if answer.facts.is_event_stream => {
                     let mut source = StreamSource::open(answer);
                     source.guard.first_event_came();
--- a/crates/amaranth-telemetry/src/program.rs
+++ b/crates/amaranth-telemetry/src/program.rs
@@ -1,5 +1,6 @@
 //! The beginning that the long-running programs share: arguments, settings, then the work.
 
+use std::path::Path;
 use std::process::ExitCode;
 
 use miette::Report;
@@ -30,7 +31,18 @@
         }
         ProgramArguments::Run { settings, check } => (settings, check),
     };
-    let settings: Settings = match settings::read(&path) {
+    run_with(&path, check, work)
+}
+
+/// Reads settings and runs `work` on them, or says that they are good if they are only checked.
+///
+/// Nothing starts before the settings are checked.
+pub fn run_with<Settings, Work>(path: &Path, check: bool, work: Work) -> ExitCode
+where
+    Settings: CheckedSettings,
+    Work: FnOnce(Settings) -> miette::Result<()>,
+{
+    let settings: Settings = match settings::read(path) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{:?}", Report::new(error));
