--- a/crates/amaranth-relay/src/endpoint_pool.rs
+++ b/crates/amaranth-relay/src/endpoint_pool.rs
@@ -17,8 +17,9 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
-/// Time that a connection may take to open: a retransmission within a region, not one abroad.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time that a connection may take to open: several times the way abroad and back. A lost packet
+/// is sent again only after a second.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Time without an acknowledgement after which the kernel gives a connection up.
 const USER_TIMEOUT: Duration = Duration::from_millis(2_000);
--- a/crates/amaranth-relay/src/feed.rs
+++ b/crates/amaranth-relay/src/feed.rs
@@ -66,7 +66,7 @@
 const SHORTEST_PAUSE: Duration = Duration::from_millis(100);
 
 /// Pause after a failed read at most.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(300);
 
 /// Follows a table for ever and hands what it reads to `take`.
 ///
