Keep to an endpoint's bound on connections

Cause: the configuration's max_conns was decoded and nothing obeyed it; each call takes a connection, and an endpoint resets what is beyond its bound. An entry has a fourth of them at most now, at engines and plain services; the tests fail without the filter. A method that nothing used is gone.

--- a/crates/amaranth-dispatch/src/endpoint_book.rs
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -164,11 +164,6 @@
             .saturating_sub(self.estimate.unread_prompts())
     }
 
-    /// Returns the adapters that the entry's own calls use.
-    pub fn own_uses(&self) -> &[AdapterUse] {
-        &self.uses
-    }
-
     /// Returns the loads that this entry asked the agent for and that are not settled.
     pub fn wishes(&self) -> &[HeldAdapter] {
         &self.wishes
--- a/crates/amaranth-dispatch/src/engine_placer.rs
+++ b/crates/amaranth-dispatch/src/engine_placer.rs
@@ -119,6 +119,8 @@
     pub spent: Duration,
     /// How long a load from the weight store waits before it may start.
     pub load_wait: Duration,
+    /// The calls that the entry may have at one engine.
+    pub max_calls: u32,
 }
 
 /// Returns the key under which an adapter and its prompt parts are kept.
@@ -138,6 +140,7 @@
     let mut ranked: Vec<(u64, &EndpointState)> = book
         .of_service(query.service)
         .filter(|state| state.is_open() && !query.excluded.contains(&state.record.id))
+        .filter(|state| state.calls() < query.max_calls)
         .map(|state| (hash64(key, state.record.id.as_str().as_bytes()), state))
         .collect();
     ranked.sort_unstable_by_key(|(score, _)| *score);
--- a/crates/amaranth-dispatch/src/routes.rs
+++ b/crates/amaranth-dispatch/src/routes.rs
@@ -123,12 +123,27 @@
 pub struct ServiceRule {
     /// The service.
     pub name: ServiceName,
-    /// Connections that an endpoint accepts from all its clients.
+    /// Connections that an endpoint accepts from all its clients; 0 if that is not stated.
     pub max_connections: u32,
     /// What its engines are, if it has engines.
     pub engine: Option<EngineRule>,
 }
 
+/// Entries among which an endpoint's connections are shared out. An entry that has more calls than
+/// others may use more than an even share while they use less.
+const CONNECTION_SHARES: u32 = 4;
+
+impl ServiceRule {
+    /// Returns the calls that one entry may have at an endpoint of the service: each takes a
+    /// connection of its own.
+    pub fn max_calls(&self) -> u32 {
+        match self.max_connections {
+            0 => u32::MAX,
+            connections => (connections / CONNECTION_SHARES).max(1),
+        }
+    }
+}
+
 /// What callers may send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CallerLimits {
--- a/crates/amaranth-dispatch/src/service_picker.rs
+++ b/crates/amaranth-dispatch/src/service_picker.rs
@@ -26,16 +26,27 @@
 /// When a refused caller may come back: the time in which a busy endpoint frees some slots.
 pub const FULL_RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// What the picker is asked.
+#[derive(Debug, Clone, Copy)]
+pub struct PickQuery<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// Endpoints that failed the call.
+    pub excluded: &'a [EndpointId],
+    /// The calls that the entry may have at one endpoint.
+    pub max_calls: u32,
+}
+
 /// Returns the endpoint that is least used, all costs counted, or nothing if all are full.
 pub fn pick(
     now: Timestamp,
     book: &EndpointBook,
     locality: &Locality,
-    service: &ServiceName,
-    excluded: &[EndpointId],
+    query: PickQuery<'_>,
 ) -> Option<EndpointId> {
-    book.of_service(service)
-        .filter(|state| state.is_open() && !excluded.contains(&state.record.id))
+    book.of_service(query.service)
+        .filter(|state| state.is_open() && !query.excluded.contains(&state.record.id))
+        .filter(|state| state.calls() < query.max_calls)
         .filter(|state| use_share(state) < FULL_SHARE)
         .map(|state| (cost(now, state, locality), state))
         .min_by(|(left, _), (right, _)| left.total_cmp(right))
--- a/crates/amaranth-dispatch/tests/engine_placer.rs
+++ b/crates/amaranth-dispatch/tests/engine_placer.rs
@@ -39,6 +39,7 @@
         objective: OBJECTIVE,
         spent: Duration::ZERO,
         load_wait: Duration::ZERO,
+        max_calls: 5,
     };
     place(NOW, book, &locality(), query)
 }
@@ -210,6 +211,17 @@
     assert_eq!(place_need(&book, &need("y"), None), None);
 }
 
+/// An engine resets connections beyond its bound, and with them calls that may have run.
+#[test]
+fn an_entry_keeps_to_its_share_of_an_engines_connections() {
+    let mut book = book(&[("e", "a1", &["x"])]);
+    for _ in 0..5 {
+        assert!(place_need(&book, &need("x"), None).is_some());
+        book.begin_call(&name("e"), Some((&name("m"), &name("x"))));
+    }
+    assert_eq!(place_need(&book, &need("x"), None), None);
+}
+
 #[test]
 fn an_engine_that_leaves_takes_nothing() {
     let mut book = book(&[("e", "a1", &["x"])]);
--- a/crates/amaranth-dispatch/tests/service_picker.rs
+++ b/crates/amaranth-dispatch/tests/service_picker.rs
@@ -4,7 +4,7 @@
 
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::endpoint_book::{EndpointBook, EndpointOutcome, EndpointRecord};
-use amaranth_dispatch::service_picker;
+use amaranth_dispatch::service_picker::{self, PickQuery};
 
 use support::{announce, engine, locality, name};
 
@@ -28,7 +28,16 @@
 }
 
 fn pick(book: &EndpointBook) -> Option<String> {
-    service_picker::pick(NOW, book, &locality(), &name("desk"), &[]).map(|id| id.to_string())
+    pick_within(book, 100)
+}
+
+fn pick_within(book: &EndpointBook, max_calls: u32) -> Option<String> {
+    let query = PickQuery {
+        service: &name("desk"),
+        excluded: &[],
+        max_calls,
+    };
+    service_picker::pick(NOW, book, &locality(), query).map(|id| id.to_string())
 }
 
 #[test]
@@ -74,3 +83,14 @@
     assert_eq!(pick(&book), None);
     assert!(service_picker::has_endpoint(&book, &name("desk")));
 }
+
+#[test]
+fn an_entry_keeps_to_its_share_of_an_endpoints_connections() {
+    let mut book = book();
+    let mut calls = 0;
+    while let Some(id) = pick_within(&book, 3) {
+        book.begin_call(&name(&id), None);
+        calls += 1;
+    }
+    assert_eq!(calls, 9, "three calls at each of three endpoints");
+}
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -86,9 +86,9 @@
         }
     };
     let patience = head.patience.unwrap_or(route.timeout).min(route.timeout);
-    let engine = table
-        .service(&service)
-        .and_then(|service| service.engine.clone());
+    let rule = table.service(&service);
+    let engine = rule.and_then(|rule| rule.engine.clone());
+    let max_calls = rule.map_or(u32::MAX, |rule| rule.max_calls());
     let need = head.generation.clone().map(Arc::new);
     Ok(Call {
         head,
@@ -100,6 +100,7 @@
         route,
         service,
         engine,
+        max_calls,
         need,
         config_version: table.version(),
         arrived,
--- a/crates/amaranth-relay/src/endpoint_choice.rs
+++ b/crates/amaranth-relay/src/endpoint_choice.rs
@@ -13,7 +13,7 @@
 use amaranth_dispatch::place_line::LinePosition;
 use amaranth_dispatch::refusal::{Refusal, RefusalCause};
 use amaranth_dispatch::routes::EngineRule;
-use amaranth_dispatch::service_picker;
+use amaranth_dispatch::service_picker::{self, PickQuery};
 use smallvec::SmallVec;
 use tokio::time::{Instant, timeout_at};
 
@@ -72,8 +72,13 @@
     let now = core.now();
     let state = core.state();
     let locality = &core.options.locality;
-    let picked = service_picker::pick(now, &state.book, locality, &call.service, history.tried())
-        .or_else(|| service_picker::pick(now, &state.book, locality, &call.service, &[]));
+    let query = |excluded| PickQuery {
+        service: &call.service,
+        excluded,
+        max_calls: call.max_calls,
+    };
+    let picked = service_picker::pick(now, &state.book, locality, query(history.tried()))
+        .or_else(|| service_picker::pick(now, &state.book, locality, query(&[])));
     let Some(endpoint) = picked else {
         let known = service_picker::has_endpoint(&state.book, &call.service);
         let refusal = if known {
@@ -255,6 +260,7 @@
         objective: call.route.objective,
         spent: call.arrived.elapsed(),
         load_wait: state.gate.expected_wait(),
+        max_calls: call.max_calls,
     };
     let choice = engine_placer::place(now, &state.book, &core.options.locality, query)?;
     let address = state.book.get(&choice.endpoint)?.record.address;
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -34,6 +34,8 @@
     pub service: ServiceName,
     /// The engines of the service, if it has engines.
     pub engine: Option<EngineRule>,
+    /// The calls that the entry may have at one endpoint of the service.
+    pub max_calls: u32,
     /// What it needs of an engine.
     pub need: Option<Arc<GenerationNeed>>,
     /// The version of the configuration under which it was routed.
