--- a/crates/amaranth-relay/src/agent.rs
+++ b/crates/amaranth-relay/src/agent.rs
@@ -73,11 +73,6 @@
         self.changed.notify_waiters();
     }
 
-    /// Has the next report decide whether the engine still answers.
-    pub fn lose_engine_if_silent(&self) {
-        self.asked.notify_one();
-    }
-
     /// Returns whether a report has to be read before the next order.
     pub fn needs_report(&self) -> bool {
         self.shelf().is_stale()
@@ -137,7 +132,7 @@
         changed.as_mut().enable();
         let revision = {
             let mut shelf = self.shelf();
-            shelf.take_usage(now, usage);
+            take_usage(&mut shelf, now, usage);
             shelf.revision()
         };
         self.asked.notify_one();
@@ -155,7 +150,7 @@
         let id = {
             let now = self.now();
             let mut shelf = self.shelf();
-            shelf.take_usage(now, usage);
+            take_usage(&mut shelf, now, usage);
             if shelf.is_held(&wish) && !shelf.is_stale() {
                 return LoadOutcome::Held;
             }
@@ -181,6 +176,18 @@
     }
 }
 
+/// Takes an entry's use of the engine, and logs when it names another start of the engine.
+fn take_usage(shelf: &mut AdapterShelf, now: Timestamp, usage: UsageReport) {
+    let known = shelf.endpoint().cloned();
+    let entry = usage.entry.clone();
+    shelf.take_usage(now, usage);
+    if let Some(endpoint) = shelf.endpoint()
+        && known.as_ref() != Some(endpoint)
+    {
+        log::info!("event=engine_named endpoint={endpoint} by={entry}");
+    }
+}
+
 /// The agent's side of the calls of entries.
 #[derive(Debug, Clone)]
 struct ShelfServer {
--- a/crates/amaranth-relay/src/order_loop.rs
+++ b/crates/amaranth-relay/src/order_loop.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_dispatch::adapter_shelf::{GuardedOrder, OrderAnswer};
+use amaranth_dispatch::adapter_shelf::GuardedOrder;
 use tokio::time::{Instant, sleep};
 
 use crate::agent::AgentCore;
@@ -107,7 +107,4 @@
         token.0
     );
     core.order_ended(answer);
-    if answer == OrderAnswer::Unanswered {
-        core.lose_engine_if_silent();
-    }
 }
