Use sets where maps had empty values, and lend a history that is only read

Found on reading the whole change once more: the load gate and the removals of a registry read kept maps to nothing, and a stream's beginning borrowed a history mutably that it copies.

--- a/crates/amaranth-dispatch/src/load_gate.rs
+++ b/crates/amaranth-dispatch/src/load_gate.rs
@@ -5,7 +5,7 @@
 //! sooner. The gate finds its share by the time that loads take: it opens while they take the usual
 //! time and closes when they are much slower. Waiting loads go by rank, then by age.
 
-use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use amaranth_core::time::Timestamp;
@@ -54,7 +54,7 @@
     under_way: u32,
     usual: f64,
     current: f64,
-    waiting: BTreeMap<(u8, LoadTicket), ()>,
+    waiting: BTreeSet<(u8, LoadTicket)>,
     tickets: u64,
     backed_off_at: Option<Timestamp>,
 }
@@ -66,7 +66,7 @@
             under_way: 0,
             usual: ASSUMED_LOAD_TIME.as_secs_f64(),
             current: ASSUMED_LOAD_TIME.as_secs_f64(),
-            waiting: BTreeMap::new(),
+            waiting: BTreeSet::new(),
             tickets: 0,
             backed_off_at: None,
         }
@@ -78,7 +78,7 @@
     pub fn ask(&mut self, rank: u8) -> LoadTicket {
         self.tickets += 1;
         let ticket = LoadTicket(self.tickets);
-        self.waiting.insert((rank, ticket), ());
+        self.waiting.insert((rank, ticket));
         ticket
     }
 
@@ -87,7 +87,7 @@
         if f64::from(self.under_way) >= self.limit.floor() {
             return None;
         }
-        let ((_, ticket), ()) = self.waiting.pop_first()?;
+        let (_, ticket) = self.waiting.pop_first()?;
         self.under_way += 1;
         Some(ticket)
     }
@@ -95,7 +95,7 @@
     /// Takes a load back that waits. Returns whether it did.
     pub fn withdraw(&mut self, ticket: LoadTicket) -> bool {
         let before = self.waiting.len();
-        self.waiting.retain(|(_, waiting), ()| *waiting != ticket);
+        self.waiting.retain(|(_, waiting)| *waiting != ticket);
         self.waiting.len() < before
     }
 
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -146,7 +146,7 @@
         let failed = match send(&core, &call, chosen, terms).await {
             Ok(open) if open.facts.is_event_stream => {
                 let source = StreamSource::open(open);
-                match stream_relay::begin(&core, &call, source, &mut history).await {
+                match stream_relay::begin(&core, &call, source, &history).await {
                     Ok(response) => {
                         record.streams();
                         return response;
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -1,6 +1,6 @@
 //! An entry: what it knows, and the tasks that keep it up to date.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -432,12 +432,12 @@
     now: Timestamp,
     events: Vec<RegistryEvent>,
 ) -> Vec<(EndpointId, BookChange)> {
-    let mut removed: BTreeMap<EndpointId, ()> = BTreeMap::new();
+    let mut removed: BTreeSet<EndpointId> = BTreeSet::new();
     let mut changes = Vec::new();
     for event in events {
         match event {
             RegistryEvent::Removed(id) => {
-                removed.insert(id, ());
+                removed.insert(id);
             }
             RegistryEvent::Announced(record) => {
                 removed.remove(&record.id);
@@ -446,7 +446,7 @@
             }
         }
     }
-    let removed: Vec<EndpointId> = removed.into_keys().collect();
+    let removed: Vec<EndpointId> = removed.into_iter().collect();
     changes.extend(book.remove_together(now, &removed));
     changes
 }
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -97,7 +97,7 @@
     core: &Arc<EntryCore>,
     call: &Arc<Call>,
     mut source: StreamSource,
-    history: &mut AttemptHistory,
+    history: &AttemptHistory,
 ) -> Result<Response<AnswerBody>, FailedSend> {
     let may_move = history.may_move(&call.route, &core.state().budget);
     let first = source.next(call.expires, may_move).await;
