Count an engine's silence from its last event, also for prompts sent before it

Cause: a prompt that was sent before the last event of another stream never counted as owed. Ruled out: that the engine's removal from the registry hid the silence; those engines stayed listed. Test: an_engine_that_owes_a_prompt_from_before_its_last_event_falls_silent failed first.

--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -103,11 +103,11 @@
     }
 
     /// Returns whether the engine has sent nothing for much longer than was expected, though it
-    /// owes a first event or runs a stream.
+    /// owes a first event or runs a stream. Events of other streams show that it is alive.
     pub fn is_silent(&self, now: Timestamp) -> bool {
         let owes = self.unread.iter().any(|prompt| {
             let limit = (prompt.expected * SILENCE_FACTOR).max(LEAST_SILENCE);
-            prompt.sent_at >= self.heard_at && now.since(prompt.sent_at) > limit
+            now.since(prompt.sent_at.max(self.heard_at)) > limit
         });
         owes || (self.running > 0 && now.since(self.heard_at) > RUNNING_SILENCE)
     }
