Count the retry share by window and service, and decide a move when silence is noticed

The bucket was shared by all services, and whether a call may move was asked once, when it was sent. Ruled out: that the fleet's budget was spent (458 arrivals beyond the first of 8431 in 36 s; 0.2 and a slack of 100 are allowed in 10 s). Change: a share counts calls and retries of each service over the window that the platform names; three quarters of the ratio of what the entry's own calls earned may be spent at once. A call that stays says so in the log, once, with the retries left.

--- a/crates/amaranth-dispatch/src/attempts.rs
+++ b/crates/amaranth-dispatch/src/attempts.rs
@@ -1,10 +1,10 @@
 //! What may follow when a call was sent to an endpoint and did not succeed there.
 
-use amaranth_control::retry_budget::{RetryBudget, RetryBudgetOptions};
 use smallvec::SmallVec;
 use strum::Display;
 
 use crate::refusal::RefusalCause;
+use crate::retry_share::RetryAllowance;
 use crate::routes::RouteRule;
 use amaranth_core::ids::EndpointId;
 
@@ -71,21 +71,21 @@
     }
 
     /// Returns whether a call that was sent may be given up there and be sent to another endpoint.
-    pub fn may_move(&self, route: &RouteRule, budget: &RetryBudget) -> bool {
+    pub fn may_move(&self, route: &RouteRule, allowance: &RetryAllowance<'_>) -> bool {
         route.is_repeatable()
             && self.runs + 1 < route.max_attempts
             && self.sends + 1 < MAX_SENDS
-            && budget.saved() > 0
+            && allowance.is_open()
     }
 
-    /// Notes a failed send and decides what follows. `budget` is asked only where the endpoint
+    /// Notes a failed send and decides what follows. `allowance` is asked only where the endpoint
     /// saw the call.
     pub fn after_failure(
         &mut self,
         route: &RouteRule,
         endpoint: &EndpointId,
         failure: SendFailure,
-        budget: &mut RetryBudget,
+        allowance: &mut RetryAllowance<'_>,
     ) -> NextStep {
         self.sends += 1;
         if failure != SendFailure::Misdirected {
@@ -95,7 +95,7 @@
             self.runs += 1;
             self.uncertain |= failure == SendFailure::Ambiguous;
         }
-        if self.may_send_again(route, failure) && self.has_budget(failure, budget) {
+        if self.may_send_again(route, failure) && self.has_budget(failure, allowance) {
             return NextStep::SendAgain;
         }
         self.final_answer(failure)
@@ -111,8 +111,8 @@
         route.is_repeatable() && self.runs < route.max_attempts
     }
 
-    fn has_budget(&self, failure: SendFailure, budget: &mut RetryBudget) -> bool {
-        failure == SendFailure::NotSent || budget.withdraw()
+    fn has_budget(&self, failure: SendFailure, allowance: &mut RetryAllowance<'_>) -> bool {
+        failure == SendFailure::NotSent || allowance.withdraw()
     }
 
     fn final_answer(&self, failure: SendFailure) -> NextStep {
@@ -125,19 +125,3 @@
         NextStep::Refuse(RefusalCause::EndpointsRefused)
     }
 }
-
-/// Creates the part of the fleet's retry budget that one entry may spend.
-///
-/// Entries don't talk about retries. Each earns from its own calls at less than the fleet's ratio,
-/// and starts with a fixed part of the fleet's slack that stays within it for `entries` entries
-/// which each start again once within a window.
-pub fn open_retry_share(fleet_ratio: f64, fleet_slack: u32, entries: u32) -> RetryBudget {
-    /// Part of the fleet's ratio that entries spend; the rest covers calls that a window misses.
-    const RATIO_PART: f64 = 0.7;
-    /// Starts of one entry within a window that the slack covers.
-    const STARTS_COVERED: u32 = 2;
-    RetryBudget::open(RetryBudgetOptions {
-        retries_per_request: fleet_ratio * RATIO_PART,
-        saved_retries: (fleet_slack / (entries.max(1) * STARTS_COVERED)).max(1),
-    })
-}
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -16,7 +16,7 @@
 use crate::answer_body::AnswerBody;
 use crate::call_record::{CallRecord, refuse};
 use crate::endpoint_choice::{DEFAULT_RETRY_AFTER, UNKNOWING_RETRY_AFTER, choose};
-use crate::endpoint_send::{LEAST_TIME_LEFT, SendLimits, collect, send};
+use crate::endpoint_send::{LEAST_TIME_LEFT, collect, send};
 use crate::entry::EntryCore;
 use crate::routed_call::Call;
 use crate::stream_relay::{self, StreamSource};
@@ -46,7 +46,7 @@
             return refuse(&core, Some(&head), refusal);
         }
     };
-    core.state().budget.deposit();
+    core.state().retries.note_call(core.now(), &call.service);
     relay(core, call).await
 }
 
@@ -139,11 +139,8 @@
         };
         record.endpoint = Some(chosen.guard.endpoint().clone());
         let endpoint = chosen.guard.endpoint().clone();
-        let terms = SendLimits {
-            resume_after: call.head.resume_after,
-            may_move: history.may_move(&call.route, &core.state().budget),
-        };
-        let failed = match send(&core, &call, chosen, terms).await {
+        let resume_after = call.head.resume_after;
+        let failed = match send(&core, &call, chosen, &history, resume_after).await {
             Ok(open) if open.facts.is_event_stream => {
                 let source = StreamSource::open(open);
                 match stream_relay::begin(&core, &call, source, &history).await {
@@ -167,10 +164,7 @@
             history.sends() + 1
         );
         last_failure = failed.answer;
-        let step = {
-            let mut state = core.state();
-            history.after_failure(&call.route, &endpoint, failed.failure, &mut state.budget)
-        };
+        let step = call.after_failure(&core, &mut history, &endpoint, failed.failure);
         match step {
             NextStep::SendAgain if call.time_left(&core) > LEAST_TIME_LEFT => {}
             NextStep::SendAgain => {
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranth_core::ids::EndpointId;
-use amaranth_dispatch::attempts::SendFailure;
+use amaranth_dispatch::attempts::{AttemptHistory, SendFailure};
 use amaranth_dispatch::endpoint_book::EndpointOutcome;
 use bytes::Bytes;
 use http::{Request, Response};
@@ -19,6 +19,7 @@
 use crate::entry::EntryCore;
 use crate::routed_call::Call;
 use crate::send_guard::SendGuard;
+use crate::silence_watch::SilenceWatch;
 
 /// Largest body of an answer that is not a stream, in bytes.
 const MAX_WHOLE_ANSWER: usize = 16 << 20;
@@ -60,21 +61,14 @@
     }
 }
 
-/// How a call is sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SendLimits {
-    /// The last event that the caller has of the stream.
-    pub resume_after: Option<u64>,
-    /// Whether the call may be given up at a silent engine and be sent to another.
-    pub may_move: bool,
-}
-
-/// Sends a call to an endpoint and returns the head of a successful answer.
+/// Sends a call to an endpoint and returns the head of a successful answer. `resume_after` is the
+/// last event that the caller has of the stream.
 pub async fn send(
     core: &Arc<EntryCore>,
     call: &Call,
     chosen: ChosenEndpoint,
-    limits: SendLimits,
+    history: &AttemptHistory,
+    resume_after: Option<u64>,
 ) -> Result<OpenAnswer, FailedSend> {
     let mut guard = chosen.guard;
     let mut connection = match core.pool.connect(chosen.address).await {
@@ -104,11 +98,11 @@
         call,
         guard.endpoint(),
         chosen.adapter_version,
-        limits.resume_after,
+        resume_after,
     );
     guard.prompt_sent();
     let sending = connection.send(request);
-    let response = match wait_for_head(call, &guard, limits.may_move, sending).await {
+    let response = match wait_for_head(core, call, &guard, history, sending).await {
         HeadWait::Came(Ok(response)) => response,
         HeadWait::Came(Err(error)) => {
             let failure = match error {
@@ -126,11 +120,6 @@
             return Err(FailedSend::plain(failure));
         }
         HeadWait::Silent => {
-            log::info!(
-                "event=engine_silent id={} endpoint={} action=move",
-                call.head.id,
-                guard.endpoint()
-            );
             guard.conclude(EndpointOutcome::Failed);
             return Err(FailedSend::plain(SendFailure::Ambiguous));
         }
@@ -150,12 +139,14 @@
 }
 
 async fn wait_for_head(
+    core: &EntryCore,
     call: &Call,
     guard: &SendGuard,
-    may_move: bool,
+    history: &AttemptHistory,
     sending: impl Future<Output = Result<Response<Incoming>, SendError>>,
 ) -> HeadWait {
     tokio::pin!(sending);
+    let mut watch = SilenceWatch::default();
     loop {
         let look = (Instant::now() + SILENCE_INTERVAL).min(call.expires);
         if let Ok(came) = timeout_at(look, sending.as_mut()).await {
@@ -164,7 +155,7 @@
         if Instant::now() >= call.expires {
             return HeadWait::TimeOver;
         }
-        if may_move && guard.is_silent() {
+        if watch.leaves(core, call, guard, Some(history)) {
             return HeadWait::Silent;
         }
     }
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -5,15 +5,14 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranth_control::retry_budget::RetryBudget;
 use amaranth_core::ids::{AdapterName, EndpointId, ModelName};
 use amaranth_core::time::Timestamp;
-use amaranth_dispatch::attempts::open_retry_share;
 use amaranth_dispatch::endpoint_book::{BookChange, EndpointBook, EndpointRecord, RegistryEvent};
 use amaranth_dispatch::engine_placer::Locality;
 use amaranth_dispatch::engine_view::{LoadOutcome, LoadWish};
 use amaranth_dispatch::load_gate::{LoadGate, LoadTicket};
 use amaranth_dispatch::place_line::PlaceLine;
+use amaranth_dispatch::retry_share::{RetryLimits, RetryShare};
 use amaranth_dispatch::routes::{ConfigKeeper, ConfigStep, EngineRule, RouteTable, RoutingConfig};
 use amaranth_dispatch::stop_policy::StopPolicy;
 use amaranth_dispatch::version_book::VersionBook;
@@ -41,12 +40,8 @@
     pub readiness: SocketAddr,
     /// The port of the agents beside engines.
     pub agent_port: u16,
-    /// Retries of the whole fleet for each call.
-    pub retry_ratio: f64,
-    /// Retries of the whole fleet beyond those, in a window.
-    pub retry_slack: u32,
-    /// Entries of the fleet, at most.
-    pub entries: u32,
+    /// The whole fleet's budget of retries.
+    pub retries: RetryLimits,
     /// The time within which a configuration has to be in force.
     pub config_bound: Duration,
     /// The time within which an endpoint that leaves gets no new calls.
@@ -81,7 +76,7 @@
     /// The endpoints.
     pub book: EndpointBook,
     /// The entry's part of the retry budget.
-    pub budget: RetryBudget,
+    pub retries: RetryShare,
     /// The loads from the weight store that the entry has under way.
     pub gate: LoadGate,
     /// The calls that wait for a place at an engine.
@@ -147,7 +142,7 @@
 impl EntryCore {
     /// Creates what an entry knows at its start: nothing.
     pub fn open(options: EntryOptions, dialect: impl CallDialect) -> Arc<Self> {
-        let budget = open_retry_share(options.retry_ratio, options.retry_slack, options.entries);
+        let retries = RetryShare::open(options.retries);
         Arc::new(Self {
             options,
             dialect: Box::new(dialect),
@@ -160,7 +155,7 @@
                 config: ConfigKeeper::default(),
                 versions: VersionBook::default(),
                 book: EndpointBook::default(),
-                budget,
+                retries,
                 gate: LoadGate::default(),
                 line: PlaceLine::default(),
                 stopping: None,
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod readiness;
 pub mod routed_call;
 pub mod send_guard;
+pub mod silence_watch;
 pub mod stream_relay;
 pub mod suspend_clock;
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -3,8 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_core::ids::ServiceName;
+use amaranth_core::ids::{EndpointId, ServiceName};
 use amaranth_core::time::Timestamp;
+use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
 use amaranth_dispatch::call::{CallHead, GenerationNeed};
 use amaranth_dispatch::routes::{EngineRule, RouteRule};
 use bytes::Bytes;
@@ -59,4 +60,30 @@
     pub fn time_left(&self, core: &EntryCore) -> Duration {
         self.expires_at.since(core.now())
     }
+
+    /// Returns the retries of calls to the call's service that the entry may send now.
+    pub fn retries_left(&self, core: &EntryCore) -> u32 {
+        core.state().retries.left(core.now(), &self.service)
+    }
+
+    /// Returns whether the call may leave the endpoint that it was sent to.
+    pub fn may_move(&self, core: &EntryCore, history: &AttemptHistory) -> bool {
+        let now = core.now();
+        let mut state = core.state();
+        history.may_move(&self.route, &state.retries.allowance(now, &self.service))
+    }
+
+    /// Notes a failed send and decides what follows.
+    pub fn after_failure(
+        &self,
+        core: &EntryCore,
+        history: &mut AttemptHistory,
+        endpoint: &EndpointId,
+        failure: SendFailure,
+    ) -> NextStep {
+        let now = core.now();
+        let mut state = core.state();
+        let mut allowance = state.retries.allowance(now, &self.service);
+        history.after_failure(&self.route, endpoint, failure, &mut allowance)
+    }
 }
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -15,11 +15,12 @@
 use crate::answer_body::{self, AnswerBody, AnswerBroken};
 use crate::endpoint_choice::choose;
 use crate::endpoint_pool::EndpointConnection;
-use crate::endpoint_send::{FailedSend, OpenAnswer, SILENCE_INTERVAL, SendLimits, send};
+use crate::endpoint_send::{FailedSend, OpenAnswer, SILENCE_INTERVAL, send};
 use crate::entry::EntryCore;
 use crate::event_splitter::{EventRun, EventSplitter};
 use crate::routed_call::Call;
 use crate::send_guard::{FirstEventPrediction, SendGuard};
+use crate::silence_watch::SilenceWatch;
 
 /// Time beyond a call's end for which events that are under way are still passed on.
 const END_SLACK: Duration = Duration::from_millis(100);
@@ -32,6 +33,7 @@
     splitter: EventSplitter,
     connection: EndpointConnection,
     guard: SendGuard,
+    watch: SilenceWatch,
 }
 
 /// What came next of a stream.
@@ -51,18 +53,26 @@
             splitter: EventSplitter::default(),
             connection: answer.connection,
             guard: answer.guard,
+            watch: SilenceWatch::default(),
         }
     }
 
-    /// Returns what comes next until a moment. With `may_move`, a silent engine breaks the stream.
-    async fn next(&mut self, until: Instant, may_move: bool) -> StreamStep {
+    /// Returns what comes next until a moment. A silent engine breaks the stream if `history` allows
+    /// that the call leaves it.
+    async fn next(
+        &mut self,
+        core: &EntryCore,
+        call: &Call,
+        history: Option<&AttemptHistory>,
+        until: Instant,
+    ) -> StreamStep {
         loop {
             let look = (Instant::now() + SILENCE_INTERVAL).min(until);
             let frame = match timeout_at(look, self.body.frame()).await {
                 Err(_) if Instant::now() >= until => {
                     return StreamStep::Broken("the time for the call is over".to_owned());
                 }
-                Err(_) if may_move && self.guard.is_silent() => {
+                Err(_) if self.watch.leaves(core, call, &self.guard, history) => {
                     return StreamStep::Broken("the engine has fallen silent".to_owned());
                 }
                 Err(_) => continue,
@@ -99,8 +109,7 @@
     mut source: StreamSource,
     history: &AttemptHistory,
 ) -> Result<Response<AnswerBody>, FailedSend> {
-    let may_move = history.may_move(&call.route, &core.state().budget);
-    let first = source.next(call.expires, may_move).await;
+    let first = source.next(core, call, Some(history), call.expires).await;
     let (first, ended) = match first {
         StreamStep::Events(run) => (Some(run), false),
         StreamStep::Ended => (None, true),
@@ -169,9 +178,9 @@
     async fn next(&mut self) -> Option<Result<Bytes, AnswerBroken>> {
         loop {
             let until = self.call.expires + END_SLACK;
-            let may_move = self.may_move();
+            let history = self.last_id.map(|_| &self.history);
             let source = self.source.as_mut()?;
-            match source.next(until, may_move).await {
+            match source.next(&self.core, &self.call, history, until).await {
                 StreamStep::Events(run) => return Some(Ok(self.note(run))),
                 StreamStep::Ended => {
                     self.end();
@@ -187,13 +196,6 @@
         }
     }
 
-    fn may_move(&self) -> bool {
-        self.last_id.is_some()
-            && self
-                .history
-                .may_move(&self.call.route, &self.core.state().budget)
-    }
-
     fn note(&mut self, run: EventRun) -> Bytes {
         self.events += run.events;
         self.last_id = run.last_id.or(self.last_id);
@@ -227,11 +229,9 @@
         }
         let mut failure = SendFailure::Ambiguous;
         loop {
-            let step = {
-                let mut state = self.core.state();
-                self.history
-                    .after_failure(&self.call.route, &endpoint, failure, &mut state.budget)
-            };
+            let step = self
+                .call
+                .after_failure(&self.core, &mut self.history, &endpoint, failure);
             if step != NextStep::SendAgain || Instant::now() >= self.call.expires {
                 return Err(AnswerBroken(reason));
             }
@@ -239,11 +239,7 @@
                 .await
                 .map_err(|refusal| AnswerBroken(format!("{reason}; {}", refusal.cause)))?;
             endpoint = chosen.guard.endpoint().clone();
-            let limits = SendLimits {
-                resume_after: self.last_id,
-                may_move: self.may_move(),
-            };
-            match send(&self.core, &self.call, chosen, limits).await {
+            match send(&self.core, &self.call, chosen, &self.history, self.last_id).await {
                 Ok(answer) if answer.facts.is_event_stream => {
                     let mut source = StreamSource::open(answer);
                     source.guard.first_event_came();
