Pass engines on VMs that do not answer over when a call is placed

Change: an agent whose process ended (connection refused or closed) is told from a VM that does not answer; an engine on such a VM that sent no event for 0.5 s has a price of 0.7. Tests: an_engine_on_a_silent_vm_is_passed_over_while_another_can_serve failed first; an_engine_whose_agent_ended_keeps_its_calls; a_silent_vm_is_tried_when_nothing_else_can_serve.

--- a/crates/amaranth-dispatch/src/endpoint_book.rs
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -61,9 +61,24 @@
     Unchanged,
 }
 
+/// How the agent of an engine was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum AgentLoss {
+    /// Its VM closed the connection or refused one: the agent's process ended, and the engine may
+    /// be well.
+    ProcessEnded,
+    /// Its VM did not answer in time.
+    VmSilent,
+}
+
 /// Age up to which an agent's word that its engine answers is trusted.
 const VIEW_TRUST: Duration = Duration::from_millis(1_500);
 
+/// Time without an event after which an engine on a VM that does not answer is suspect: several
+/// pauses between events of a busy engine.
+const SUSPECT_SILENCE: Duration = Duration::from_millis(500);
+
 /// Failures in a row after which an endpoint is passed over.
 const FAILURES_TO_SHUN: u32 = 2;
 
@@ -99,6 +114,7 @@
     shunned_until: Timestamp,
     shun: Duration,
     removal_at: Option<Timestamp>,
+    vm_silent: bool,
 }
 
 impl EndpointState {
@@ -116,6 +132,7 @@
             shunned_until: Timestamp::ZERO,
             shun: SHORTEST_SHUN,
             removal_at: None,
+            vm_silent: false,
         }
     }
 
@@ -157,6 +174,12 @@
         !answers && self.estimate.is_silent(now)
     }
 
+    /// Returns whether the engine's VM did not answer when its agent was asked, and the engine has
+    /// sent no event lately either. It may be frozen or cut off.
+    pub fn is_suspect(&self, now: Timestamp) -> bool {
+        self.vm_silent && !self.estimate.was_heard_within(now, SUSPECT_SILENCE)
+    }
+
     /// Returns the prompts of other entries that the engine has not read.
     pub fn unread_of_others(&self) -> u32 {
         self.contents()
@@ -463,13 +486,15 @@
     pub fn take_view(&mut self, now: Timestamp, id: &EndpointId, view: EngineView) {
         if let Some(state) = self.endpoints.get_mut(id) {
             state.view = Some((now, view));
+            state.vm_silent = false;
         }
     }
 
     /// Forgets what an agent said, so that the registry's list is believed again.
-    pub fn forget_view(&mut self, id: &EndpointId) {
+    pub fn forget_view(&mut self, id: &EndpointId, loss: AgentLoss) {
         if let Some(state) = self.endpoints.get_mut(id) {
             state.view = None;
+            state.vm_silent = loss == AgentLoss::VmSilent;
         }
     }
 
--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -112,6 +112,11 @@
         owes || (self.running > 0 && now.since(self.heard_at) > RUNNING_SILENCE)
     }
 
+    /// Returns whether an event of some stream came within a time.
+    pub fn was_heard_within(&self, now: Timestamp, time: Duration) -> bool {
+        now.since(self.heard_at) <= time
+    }
+
     /// Notes that an event of some stream came.
     pub const fn heard(&mut self, now: Timestamp) {
         self.heard_at = now;
--- a/crates/amaranth-dispatch/src/engine_placer.rs
+++ b/crates/amaranth-dispatch/src/engine_placer.rs
@@ -45,6 +45,9 @@
 /// What it costs to go to an engine that is passed over for failures, or whose memory is full.
 const LAST_RESORT_PRICE: f64 = 2.0;
 
+/// What it costs to go to an engine on a VM that does not answer: the first event is probably late.
+const SUSPECT_PRICE: f64 = 0.7;
+
 /// What a late answer is worth, as a part of one in time.
 const LATE_WORTH: f64 = 0.3;
 
@@ -270,6 +273,8 @@
     }
     if state.is_shunned(now) || state.is_silent(now) {
         price += LAST_RESORT_PRICE;
+    } else if state.is_suspect(now) {
+        price += SUSPECT_PRICE;
     }
     if is_full(now, state, query) {
         price += LAST_RESORT_PRICE / 2.0;
--- a/crates/amaranth-dispatch/tests/engine_placer.rs
+++ b/crates/amaranth-dispatch/tests/engine_placer.rs
@@ -6,7 +6,7 @@
 
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::call::GenerationNeed;
-use amaranth_dispatch::endpoint_book::{EndpointBook, EndpointOutcome};
+use amaranth_dispatch::endpoint_book::{AgentLoss, EndpointBook, EndpointOutcome};
 use amaranth_dispatch::engine_placer::{EngineChoice, PlaceQuery, PlaceReason, need_key, place};
 use amaranth_dispatch::engine_view::adapter_key;
 
@@ -168,7 +168,7 @@
 #[test]
 fn an_engine_that_owes_first_events_is_passed_over() {
     let mut book = book(&[("dark", "a1", &["x"]), ("well", "a1", &["x"])]);
-    book.forget_view(&name("dark"));
+    book.forget_view(&name("dark"), AgentLoss::ProcessEnded);
     let need = need("x");
     let sent_at = Timestamp::from_millis(55_000);
     let state = book.get_mut(&name("dark")).expect("known");
@@ -206,11 +206,41 @@
 #[test]
 fn an_engine_without_its_agent_serves_what_it_holds_and_loads_nothing() {
     let mut book = book(&[("e", "a1", &["x"])]);
-    book.forget_view(&name("e"));
+    book.forget_view(&name("e"), AgentLoss::ProcessEnded);
     assert_eq!(placed(&book, "x").1, PlaceReason::Held);
     assert_eq!(place_need(&book, &need("y"), None), None);
 }
 
+/// The load: several VMs freeze. A call that left one frozen engine must not go to another of
+/// which this entry has no calls, while a third can load its adapter.
+#[test]
+fn an_engine_on_a_silent_vm_is_passed_over_while_another_can_serve() {
+    let mut book = book(&[("frozen", "a1", &["x"]), ("well", "a1", &[])]);
+    book.forget_view(&name("frozen"), AgentLoss::VmSilent);
+    assert_eq!(placed(&book, "x").0, "well");
+    let state = book.get_mut(&name("frozen")).expect("known");
+    state.estimate.heard(NOW);
+    assert_eq!(placed(&book, "x").0, "frozen", "it sends events");
+}
+
+#[test]
+fn an_engine_whose_agent_ended_keeps_its_calls() {
+    let mut book = book(&[("alone", "a1", &["x"]), ("well", "a1", &[])]);
+    book.forget_view(&name("alone"), AgentLoss::ProcessEnded);
+    assert_eq!(placed(&book, "x").0, "alone");
+}
+
+/// All agents are away, as when an entry wakes from a freeze: nothing is better than what holds
+/// the adapter.
+#[test]
+fn a_silent_vm_is_tried_when_nothing_else_can_serve() {
+    let mut book = book(&[("e1", "a1", &["x"]), ("e2", "a1", &["y"])]);
+    for id in ["e1", "e2"] {
+        book.forget_view(&name(id), AgentLoss::VmSilent);
+    }
+    assert_eq!(placed(&book, "x").0, "e1");
+}
+
 /// An engine resets connections beyond its bound, and with them calls that may have run.
 #[test]
 fn an_entry_keeps_to_its_share_of_an_engines_connections() {
--- a/crates/amaranth-relay/src/agent_link.rs
+++ b/crates/amaranth-relay/src/agent_link.rs
@@ -1,12 +1,15 @@
 //! An entry's connections to the agents of engines.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use amaranth_dispatch::endpoint_book::AgentLoss;
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadWish, UsageReport};
 use amaranth_wire::shelf::{self, ShelfRpcClient};
+use tarpc::client::RpcError;
 use tarpc::context::Context;
 
 /// Time that a connection to an agent may take to open.
@@ -17,10 +20,12 @@
 
 /// Why an agent gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
-#[error("agent {address} gave no answer: {reason}")]
+#[error("agent {address} gave no answer ({loss}): {reason}")]
 pub struct AgentSilent {
     /// The agent.
     pub address: SocketAddr,
+    /// What it says of the agent's VM.
+    pub loss: AgentLoss,
     /// Why.
     pub reason: String,
 }
@@ -75,16 +80,26 @@
             .await
             .map_err(|error| AgentSilent {
                 address,
+                loss: match error.kind() {
+                    io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset => {
+                        AgentLoss::ProcessEnded
+                    }
+                    _ => AgentLoss::VmSilent,
+                },
                 reason: error.to_string(),
             })?;
         self.lock().insert(address, client.clone());
         Ok(client)
     }
 
-    fn lose(&self, address: SocketAddr, error: &tarpc::client::RpcError) -> AgentSilent {
+    fn lose(&self, address: SocketAddr, error: &RpcError) -> AgentSilent {
         self.lock().remove(&address);
         AgentSilent {
             address,
+            loss: match error {
+                RpcError::DeadlineExceeded => AgentLoss::VmSilent,
+                _ => AgentLoss::ProcessEnded,
+            },
             reason: error.to_string(),
         }
     }
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -366,7 +366,7 @@
         metrics::histogram!("amaranth_load_wait_seconds").record(took.as_secs_f64());
         let outcome = answer.unwrap_or_else(|error| {
             log::warn!("event=agent_silent endpoint={} error={error}", key.endpoint);
-            self.state().book.forget_view(&key.endpoint);
+            self.state().book.forget_view(&key.endpoint, error.loss);
             LoadOutcome::Unavailable
         });
         log::info!(
--- a/crates/amaranth-relay/src/entry_tasks.rs
+++ b/crates/amaranth-relay/src/entry_tasks.rs
@@ -248,7 +248,7 @@
                 if !std::mem::replace(&mut silent, true) {
                     log::warn!("event=dependency_lost endpoint={id} error={error}");
                 }
-                core.state().book.forget_view(id);
+                core.state().book.forget_view(id, error.loss);
                 seen = 0;
                 wait = Duration::ZERO;
                 sleep(AGENT_PAUSE).await;
