End calls at silent engines shortly before their callers leave

Cause: callers leave a stream after a known gap, and any call at its deadline. Ruled out: ending them sooner; a frozen engine may wake, and the call can earn nothing elsewhere. Change: a call whose engine is silent ends 200 ms before its caller would leave: 502 before the first event, a broken stream after it. No further send follows. The gap comes from the objectives of the route, as told of callers. Tests: a_call_at_a_silent_engine_ends_before_its_caller_leaves and a_stream_of_a_silent_engine_ends_before_its_caller_leaves failed first; a_call_that_was_given_up_is_not_sent_again.

--- a/crates/amaranth-dispatch/src/attempts.rs
+++ b/crates/amaranth-dispatch/src/attempts.rs
@@ -22,6 +22,8 @@
     Failed,
     /// The call was sent, and no answer that can be trusted came back.
     Ambiguous,
+    /// The call was sent, the endpoint has fallen silent, and the caller is about to leave.
+    GivenUp,
 }
 
 impl SendFailure {
@@ -93,7 +95,7 @@
         }
         if !failure.is_not_run() {
             self.runs += 1;
-            self.uncertain |= failure == SendFailure::Ambiguous;
+            self.uncertain |= failure != SendFailure::Failed;
         }
         if self.may_send_again(route, failure) && self.has_budget(failure, allowance) {
             return NextStep::SendAgain;
@@ -102,7 +104,7 @@
     }
 
     fn may_send_again(&self, route: &RouteRule, failure: SendFailure) -> bool {
-        if self.sends >= MAX_SENDS {
+        if self.sends >= MAX_SENDS || failure == SendFailure::GivenUp {
             return false;
         }
         if failure.is_not_run() && !self.may_have_run() {
--- a/crates/amaranth-dispatch/src/routes.rs
+++ b/crates/amaranth-dispatch/src/routes.rs
@@ -9,6 +9,16 @@
 use smallvec::SmallVec;
 use strum::Display;
 
+/// Time without an event for which callers of streams wait at least. This and the next two are what
+/// the platform tells of its callers.
+const LEAST_GAP: Duration = Duration::from_secs(2);
+
+/// The same in objectives of the first event.
+const OBJECTIVES_IN_GAP: u32 = 4;
+
+/// The same in objectives of the pause between events.
+const PAUSES_IN_GAP: u32 = 8;
+
 /// What may be repeated of a route's calls.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
@@ -68,6 +78,17 @@
         self.kind == RouteKind::Stream && self.resumable
     }
 
+    /// Returns the time without an event after which callers leave a stream, also before its first
+    /// one; callers of other answers wait until their deadline.
+    pub fn longest_gap(&self) -> Option<Duration> {
+        let pause = self.pause_objective.unwrap_or_default();
+        (self.kind == RouteKind::Stream).then(|| {
+            LEAST_GAP
+                .max(self.objective * OBJECTIVES_IN_GAP)
+                .max(pause * PAUSES_IN_GAP)
+        })
+    }
+
     /// Returns the service of the call whose id hashes to `seed`.
     pub fn service_for(&self, seed: &str) -> Option<&ServiceName> {
         let total: u64 = self
--- a/crates/amaranth-dispatch/tests/attempts.rs
+++ b/crates/amaranth-dispatch/tests/attempts.rs
@@ -110,6 +110,20 @@
     assert_eq!(step, expected);
 }
 
+/// The load: engines freeze for longer than callers wait. Nothing could be earned in the time that
+/// is left.
+#[rstest]
+#[case(RouteKind::Idempotent, false)]
+#[case(RouteKind::Stream, true)]
+#[case(RouteKind::Stream, false)]
+#[case(RouteKind::NonIdempotent, false)]
+fn a_call_that_was_given_up_is_not_sent_again(#[case] kind: RouteKind, #[case] resumable: bool) {
+    let mut history = AttemptHistory::default();
+    let route = route(kind, resumable, 3);
+    let step = TestBudget::full().after_failure(&mut history, &route, "e", SendFailure::GivenUp);
+    assert_eq!(step, NextStep::Refuse(RefusalCause::OutcomeUnknown));
+}
+
 #[rstest]
 #[case::shed(SendFailure::NotRun, NextStep::Refuse(RefusalCause::EndpointsRefused))]
 #[case::failed(SendFailure::Failed, NextStep::PassOn)]
@@ -142,6 +156,7 @@
         Just(SendFailure::Misdirected),
         Just(SendFailure::Failed),
         Just(SendFailure::Ambiguous),
+        Just(SendFailure::GivenUp),
     ]
 }
 
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -139,8 +139,7 @@
         };
         record.endpoint = Some(chosen.guard.endpoint().clone());
         let endpoint = chosen.guard.endpoint().clone();
-        let resume_after = call.head.resume_after;
-        let failed = match send(&core, &call, chosen, &history, resume_after).await {
+        let failed = match send(&core, &call, chosen, &history, call.start()).await {
             Ok(open) if open.facts.is_event_stream => {
                 let source = StreamSource::open(open);
                 match stream_relay::begin(&core, &call, source, &history).await {
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -17,16 +17,13 @@
 use crate::endpoint_choice::{ChosenEndpoint, is_open};
 use crate::endpoint_pool::{EndpointConnection, SendError};
 use crate::entry::EntryCore;
-use crate::routed_call::Call;
+use crate::routed_call::{AnswerPosition, Call};
 use crate::send_guard::SendGuard;
-use crate::silence_watch::SilenceWatch;
+use crate::silence_watch::{SilenceStep, SilenceWatch};
 
 /// Largest body of an answer that is not a stream, in bytes.
 const MAX_WHOLE_ANSWER: usize = 16 << 20;
 
-/// Time after which a call that waits for an answer looks whether its engine has fallen silent.
-pub const SILENCE_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Least time left for which a call is still sent.
 pub const LEAST_TIME_LEFT: Duration = Duration::from_millis(20);
 
@@ -61,14 +58,13 @@
     }
 }
 
-/// Sends a call to an endpoint and returns the head of a successful answer. `resume_after` is the
-/// last event that the caller has of the stream.
+/// Sends a call to an endpoint and returns the head of a successful answer.
 pub async fn send(
     core: &Arc<EntryCore>,
     call: &Call,
     chosen: ChosenEndpoint,
     history: &AttemptHistory,
-    resume_after: Option<u64>,
+    position: AnswerPosition,
 ) -> Result<OpenAnswer, FailedSend> {
     let mut guard = chosen.guard;
     let mut connection = match core.pool.connect(chosen.address).await {
@@ -98,11 +94,11 @@
         call,
         guard.endpoint(),
         chosen.adapter_version,
-        resume_after,
+        position.last_event,
     );
     guard.prompt_sent();
     let sending = connection.send(request);
-    let response = match wait_for_head(core, call, &guard, history, sending).await {
+    let response = match wait_for_head(core, call, &guard, history, position, sending).await {
         HeadWait::Came(Ok(response)) => response,
         HeadWait::Came(Err(error)) => {
             let failure = match error {
@@ -119,9 +115,9 @@
             );
             return Err(FailedSend::plain(failure));
         }
-        HeadWait::Silent => {
+        HeadWait::Silent(failure) => {
             guard.conclude(EndpointOutcome::Failed);
-            return Err(FailedSend::plain(SendFailure::Ambiguous));
+            return Err(FailedSend::plain(failure));
         }
         HeadWait::TimeOver => {
             guard.conclude(EndpointOutcome::Failed);
@@ -134,7 +130,7 @@
 /// What came of waiting for the head of an answer.
 enum HeadWait {
     Came(Result<Response<Incoming>, SendError>),
-    Silent,
+    Silent(SendFailure),
     TimeOver,
 }
 
@@ -143,20 +139,23 @@
     call: &Call,
     guard: &SendGuard,
     history: &AttemptHistory,
+    position: AnswerPosition,
     sending: impl Future<Output = Result<Response<Incoming>, SendError>>,
 ) -> HeadWait {
     tokio::pin!(sending);
     let mut watch = SilenceWatch::default();
     loop {
-        let look = (Instant::now() + SILENCE_INTERVAL).min(call.expires);
+        let look = watch.next_look(call, position).min(call.expires);
         if let Ok(came) = timeout_at(look, sending.as_mut()).await {
             return HeadWait::Came(came);
         }
         if Instant::now() >= call.expires {
             return HeadWait::TimeOver;
         }
-        if watch.leaves(core, call, guard, Some(history)) {
-            return HeadWait::Silent;
+        match watch.look(core, call, guard, Some(history), position) {
+            SilenceStep::Wait => {}
+            SilenceStep::Move => return HeadWait::Silent(SendFailure::Ambiguous),
+            SilenceStep::GiveUp => return HeadWait::Silent(SendFailure::GivenUp),
         }
     }
 }
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -14,6 +14,19 @@
 
 use crate::entry::EntryCore;
 
+/// Time before the caller leaves at which a call at a silent engine is ended: an answer's way to the
+/// caller, and a quota's tenth of a second in which the process may not run.
+const GIVE_UP_MARGIN: Duration = Duration::from_millis(200);
+
+/// What the caller has of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerPosition {
+    /// The last event of the stream.
+    pub last_event: Option<u64>,
+    /// When the last event was passed on, or when the call arrived.
+    pub heard_at: Instant,
+}
+
 /// A call that was read and routed.
 #[derive(Debug)]
 pub struct Call {
@@ -56,6 +69,24 @@
         adapter.map_or("-", |adapter| adapter.as_str())
     }
 
+    /// Returns what the caller has before anything was sent.
+    pub const fn start(&self) -> AnswerPosition {
+        AnswerPosition {
+            last_event: self.head.resume_after,
+            heard_at: self.arrived,
+        }
+    }
+
+    /// Returns when the call is given up if its engine is silent: shortly before the caller leaves.
+    pub fn gives_up_at(&self, position: AnswerPosition) -> Instant {
+        let gap_over = self
+            .route
+            .longest_gap()
+            .map_or(self.expires, |gap| position.heard_at + gap);
+        let leaves_at = self.expires.min(gap_over);
+        leaves_at.checked_sub(GIVE_UP_MARGIN).unwrap_or(leaves_at)
+    }
+
     /// Returns how long the caller still waits.
     pub fn time_left(&self, core: &EntryCore) -> Duration {
         self.expires_at.since(core.now())
--- a/crates/amaranth-relay/src/silence_watch.rs
+++ b/crates/amaranth-relay/src/silence_watch.rs
@@ -1,11 +1,30 @@
-//! Whether a call leaves an engine that has fallen silent.
+//! What becomes of a call whose engine has fallen silent.
+
+use std::time::Duration;
 
 use amaranth_dispatch::attempts::AttemptHistory;
+use strum::Display;
+use tokio::time::Instant;
 
 use crate::entry::EntryCore;
-use crate::routed_call::Call;
+use crate::routed_call::{AnswerPosition, Call};
 use crate::send_guard::SendGuard;
 
+/// Time after which a call that waits for an answer looks whether its engine has fallen silent.
+const SILENCE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// What a call does that waits for its engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+#[strum(serialize_all = "kebab-case")]
+pub enum SilenceStep {
+    /// It goes on waiting.
+    Wait,
+    /// It leaves for another engine.
+    Move,
+    /// It ends, since its caller is about to leave.
+    GiveUp,
+}
+
 /// Watches over one send of a call.
 #[derive(Debug, Default)]
 pub struct SilenceWatch {
@@ -13,30 +32,46 @@
 }
 
 impl SilenceWatch {
-    /// Returns whether the call leaves its engine now. `history` is missing when the call can't be
-    /// gone on with elsewhere.
-    pub fn leaves(
+    /// Returns when to look next.
+    pub fn next_look(&self, call: &Call, position: AnswerPosition) -> Instant {
+        let now = Instant::now();
+        let gives_up_at = call.gives_up_at(position);
+        let look = now + SILENCE_INTERVAL;
+        if gives_up_at > now {
+            look.min(gives_up_at)
+        } else {
+            look
+        }
+    }
+
+    /// Returns what the call does now. `history` is missing when the call can't be gone on with
+    /// elsewhere.
+    pub fn look(
         &mut self,
         core: &EntryCore,
         call: &Call,
         guard: &SendGuard,
         history: Option<&AttemptHistory>,
-    ) -> bool {
+        position: AnswerPosition,
+    ) -> SilenceStep {
         if !guard.is_silent() {
-            return false;
+            return SilenceStep::Wait;
         }
-        let leaves = history.is_some_and(|history| call.may_move(core, history));
-        if leaves || !std::mem::replace(&mut self.told, true) {
-            let (action, left) = (
-                if leaves { "move" } else { "stay" },
-                call.retries_left(core),
-            );
+        let step = if Instant::now() >= call.gives_up_at(position) {
+            SilenceStep::GiveUp
+        } else if history.is_some_and(|history| call.may_move(core, history)) {
+            SilenceStep::Move
+        } else {
+            SilenceStep::Wait
+        };
+        if step != SilenceStep::Wait || !std::mem::replace(&mut self.told, true) {
             log::info!(
-                "event=engine_silent id={} endpoint={} action={action} retries_left={left}",
+                "event=engine_silent id={} endpoint={} action={step} retries_left={}",
                 call.head.id,
-                guard.endpoint()
+                guard.endpoint(),
+                call.retries_left(core)
             );
         }
-        leaves
+        step
     }
 }
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -15,12 +15,12 @@
 use crate::answer_body::{self, AnswerBody, AnswerBroken};
 use crate::endpoint_choice::choose;
 use crate::endpoint_pool::EndpointConnection;
-use crate::endpoint_send::{FailedSend, OpenAnswer, SILENCE_INTERVAL, send};
+use crate::endpoint_send::{FailedSend, OpenAnswer, send};
 use crate::entry::EntryCore;
 use crate::event_splitter::{EventRun, EventSplitter};
-use crate::routed_call::Call;
+use crate::routed_call::{AnswerPosition, Call};
 use crate::send_guard::{FirstEventPrediction, SendGuard};
-use crate::silence_watch::SilenceWatch;
+use crate::silence_watch::{SilenceStep, SilenceWatch};
 
 /// Time beyond a call's end for which events that are under way are still passed on.
 const END_SLACK: Duration = Duration::from_millis(100);
@@ -40,7 +40,13 @@
 enum StreamStep {
     Events(EventRun),
     Ended,
-    Broken(String),
+    Broken(SendFailure, String),
+}
+
+impl StreamStep {
+    fn broken(reason: &str) -> Self {
+        Self::Broken(SendFailure::Ambiguous, reason.to_owned())
+    }
 }
 
 impl StreamSource {
@@ -64,23 +70,30 @@
         core: &EntryCore,
         call: &Call,
         history: Option<&AttemptHistory>,
+        position: AnswerPosition,
         until: Instant,
     ) -> StreamStep {
         loop {
-            let look = (Instant::now() + SILENCE_INTERVAL).min(until);
+            let look = self.watch.next_look(call, position).min(until);
             let frame = match timeout_at(look, self.body.frame()).await {
                 Err(_) if Instant::now() >= until => {
-                    return StreamStep::Broken("the time for the call is over".to_owned());
+                    return StreamStep::broken("the time for the call is over");
                 }
-                Err(_) if self.watch.leaves(core, call, &self.guard, history) => {
-                    return StreamStep::Broken("the engine has fallen silent".to_owned());
-                }
-                Err(_) => continue,
+                Err(_) => match self.watch.look(core, call, &self.guard, history, position) {
+                    SilenceStep::Wait => continue,
+                    SilenceStep::Move => {
+                        return StreamStep::broken("the engine has fallen silent");
+                    }
+                    SilenceStep::GiveUp => {
+                        let reason = "the engine stayed silent until the caller was about to leave";
+                        return StreamStep::Broken(SendFailure::GivenUp, reason.to_owned());
+                    }
+                },
                 Ok(None) if self.splitter.is_within_event() => {
-                    return StreamStep::Broken("the stream ended within an event".to_owned());
+                    return StreamStep::broken("the stream ended within an event");
                 }
                 Ok(None) => return StreamStep::Ended,
-                Ok(Some(Err(error))) => return StreamStep::Broken(error.to_string()),
+                Ok(Some(Err(error))) => return StreamStep::broken(&error.to_string()),
                 Ok(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else {
@@ -92,7 +105,7 @@
                     return StreamStep::Events(run);
                 }
                 Ok(None) => {}
-                Err(error) => return StreamStep::Broken(error.to_string()),
+                Err(error) => return StreamStep::broken(&error.to_string()),
             }
         }
     }
@@ -109,11 +122,13 @@
     mut source: StreamSource,
     history: &AttemptHistory,
 ) -> Result<Response<AnswerBody>, FailedSend> {
-    let first = source.next(core, call, Some(history), call.expires).await;
+    let first = source
+        .next(core, call, Some(history), call.start(), call.expires)
+        .await;
     let (first, ended) = match first {
         StreamStep::Events(run) => (Some(run), false),
         StreamStep::Ended => (None, true),
-        StreamStep::Broken(reason) => {
+        StreamStep::Broken(failure, reason) => {
             log::info!(
                 "event=stream_broken id={} endpoint={} events=0 reason={reason:?}",
                 call.head.id,
@@ -121,7 +136,7 @@
             );
             source.guard.conclude(EndpointOutcome::Failed);
             return Err(FailedSend {
-                failure: SendFailure::Ambiguous,
+                failure,
                 answer: None,
             });
         }
@@ -137,7 +152,7 @@
         call: Arc::clone(call),
         source: Some(source),
         history: history.clone(),
-        last_id: call.head.resume_after,
+        position: call.start(),
         events: 0,
         first_event: call.arrived.elapsed(),
         prediction,
@@ -167,7 +182,7 @@
     call: Arc<Call>,
     source: Option<StreamSource>,
     history: AttemptHistory,
-    last_id: Option<u64>,
+    position: AnswerPosition,
     events: u32,
     first_event: Duration,
     prediction: Option<FirstEventPrediction>,
@@ -178,16 +193,19 @@
     async fn next(&mut self) -> Option<Result<Bytes, AnswerBroken>> {
         loop {
             let until = self.call.expires + END_SLACK;
-            let history = self.last_id.map(|_| &self.history);
+            let history = self.position.last_event.map(|_| &self.history);
             let source = self.source.as_mut()?;
-            match source.next(&self.core, &self.call, history, until).await {
+            match source
+                .next(&self.core, &self.call, history, self.position, until)
+                .await
+            {
                 StreamStep::Events(run) => return Some(Ok(self.note(run))),
                 StreamStep::Ended => {
                     self.end();
                     return None;
                 }
-                StreamStep::Broken(reason) => {
-                    if let Err(broken) = self.go_on_elsewhere(reason).await {
+                StreamStep::Broken(failure, reason) => {
+                    if let Err(broken) = self.go_on_elsewhere(failure, reason).await {
                         self.outcome = "broken";
                         return Some(Err(broken));
                     }
@@ -198,7 +216,10 @@
 
     fn note(&mut self, run: EventRun) -> Bytes {
         self.events += run.events;
-        self.last_id = run.last_id.or(self.last_id);
+        self.position = AnswerPosition {
+            last_event: run.last_id.or(self.position.last_event),
+            heard_at: Instant::now(),
+        };
         run.bytes
     }
 
@@ -211,7 +232,11 @@
     }
 
     /// Has another engine produce the rest of a stream that broke.
-    async fn go_on_elsewhere(&mut self, reason: String) -> Result<(), AnswerBroken> {
+    async fn go_on_elsewhere(
+        &mut self,
+        mut failure: SendFailure,
+        reason: String,
+    ) -> Result<(), AnswerBroken> {
         let Some(mut broken) = self.source.take() else {
             return Err(AnswerBroken(reason));
         };
@@ -222,12 +247,11 @@
             "event=stream_broken id={} endpoint={endpoint} events={} last_event={} reason={reason:?}",
             self.call.head.id,
             self.events,
-            self.last_id.unwrap_or(0)
+            self.position.last_event.unwrap_or(0)
         );
-        if !self.call.route.may_resume() || self.last_id.is_none() {
+        if !self.call.route.may_resume() || self.position.last_event.is_none() {
             return Err(AnswerBroken(reason));
         }
-        let mut failure = SendFailure::Ambiguous;
         loop {
             let step = self
                 .call
@@ -239,14 +263,14 @@
                 .await
                 .map_err(|refusal| AnswerBroken(format!("{reason}; {}", refusal.cause)))?;
             endpoint = chosen.guard.endpoint().clone();
-            match send(&self.core, &self.call, chosen, &self.history, self.last_id).await {
+            match send(&self.core, &self.call, chosen, &self.history, self.position).await {
                 Ok(answer) if answer.facts.is_event_stream => {
                     let mut source = StreamSource::open(answer);
                     source.guard.first_event_came();
                     log::info!(
                         "event=stream_resumed id={} endpoint={endpoint} last_event={}",
                         self.call.head.id,
-                        self.last_id.unwrap_or(0)
+                        self.position.last_event.unwrap_or(0)
                     );
                     metrics::counter!("amaranth_streams_resumed_total").increment(1);
                     self.source = Some(source);
--- a/crates/amaranth-relay/tests/relay/streams.rs
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -7,7 +7,7 @@
 use tokio::time::sleep;
 
 use crate::support::{
-    FakeEndpoint, LAST_CHUNK, Reply, TestEntry, chunk, event, header, post, read_to_end,
+    FakeEndpoint, LAST_CHUNK, Reply, TestEntry, chunk, event, header, post, post_for, read_to_end,
     read_until, route, status, stream_head, untouched,
 };
 
@@ -189,6 +189,47 @@
     assert!(well.arrivals().is_empty());
 }
 
+/// The load: engines freeze for longer than callers wait. The callers get an answer before they
+/// leave, so that no engine wakes up to work whose caller has gone.
+#[tokio::test]
+async fn a_call_at_a_silent_engine_ends_before_its_caller_leaves() {
+    let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 2), &[&frozen]);
+    let started = Instant::now();
+    let answer = entry.call(&post("c1", "Wants: m\r\n")).await;
+    assert_eq!(status(&answer), "502", "{answer}");
+    assert!(
+        started.elapsed() < Duration::from_millis(1_950),
+        "the caller waits for 2 s"
+    );
+    assert!(
+        started.elapsed() > Duration::from_millis(1_500),
+        "the engine may still answer"
+    );
+}
+
+#[tokio::test]
+async fn a_stream_of_a_silent_engine_ends_before_its_caller_leaves() {
+    let first = stream_head("c1") + &event(1);
+    let frozen =
+        FakeEndpoint::bind(vec![Reply::Pieces(vec![(0, first), (60_000, event(2))])]).await;
+    let mut rule = route(RouteKind::Stream, false, 2);
+    rule.objective = Duration::from_millis(400);
+    let entry = TestEntry::serving(rule, &[&frozen]);
+    let started = Instant::now();
+    let answer = entry.call(&post_for("c1", 4_000, "Wants: m\r\n")).await;
+    assert_eq!(event_ids(&answer), [1], "{answer}");
+    assert!(!answer.ends_with(LAST_CHUNK), "it must not look complete");
+    assert!(
+        started.elapsed() < Duration::from_millis(2_000),
+        "callers leave after a gap of 2 s"
+    );
+    assert!(
+        started.elapsed() > Duration::from_millis(1_500),
+        "the engine may still answer"
+    );
+}
+
 #[tokio::test]
 async fn later_generations_pass_a_silent_engine_over() {
     let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -500,7 +500,12 @@
 
 /// Returns a call that closes its connection after the answer.
 pub fn post(id: &str, extra: &str) -> String {
+    post_for(id, 2_000, extra)
+}
+
+/// Returns a call whose caller waits for some milliseconds.
+pub fn post_for(id: &str, left_ms: u32, extra: &str) -> String {
     format!(
-        "POST /p/x?q=1 HTTP/1.1\r\nHost: h\r\nCall: {id}\r\nLeft-Ms: 2000\r\nConnection: close\r\n{extra}Content-Length: 4\r\n\r\nbody"
+        "POST /p/x?q=1 HTTP/1.1\r\nHost: h\r\nCall: {id}\r\nLeft-Ms: {left_ms}\r\nConnection: close\r\n{extra}Content-Length: 4\r\n\r\nbody"
     )
 }
