Leave silent engines sooner, ask a VM before a second send, end lost calls in time

Change: prompts follow the streams that left; an engine on a VM that does not answer and sends nothing for 0.7 s is silent; an unlisted engine is judged by what the call heard; before a second send the engine's VM is asked; a call without an event ends 200 ms before its caller leaves; agents in other regions are asked to answer within 1 s (2.5 s before).

--- a/crates/amaranth-dispatch/src/endpoint_book.rs
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -76,8 +76,8 @@
 const VIEW_TRUST: Duration = Duration::from_millis(1_500);
 
 /// Time without an event after which an engine on a VM that does not answer is suspect: several
-/// pauses between events of a busy engine.
-const SUSPECT_SILENCE: Duration = Duration::from_millis(500);
+/// pauses between events of a busy engine, and the reading of a few prompts.
+const SUSPECT_SILENCE: Duration = Duration::from_millis(700);
 
 /// Failures in a row after which an endpoint is passed over.
 const FAILURES_TO_SHUN: u32 = 2;
@@ -171,7 +171,8 @@
             .view
             .as_ref()
             .is_some_and(|(at, view)| now.since(*at) < VIEW_TRUST && view.contents.cache_total > 0);
-        !answers && self.estimate.is_silent(now)
+        let suspect = self.is_suspect(now) && self.estimate.owes();
+        !answers && (suspect || self.estimate.is_silent(now))
     }
 
     /// Returns whether the engine's VM did not answer when its agent was asked, and the engine has
--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -79,6 +79,7 @@
     parts: Vec<(u64, Timestamp)>,
     heard_at: Timestamp,
     running: u32,
+    silent_at: Option<Timestamp>,
 }
 
 impl Default for EngineEstimate {
@@ -91,6 +92,7 @@
             parts: Vec::new(),
             heard_at: Timestamp::ZERO,
             running: 0,
+            silent_at: None,
         }
     }
 }
@@ -109,7 +111,10 @@
             let limit = (prompt.expected * SILENCE_FACTOR).max(LEAST_SILENCE);
             now.since(prompt.sent_at.max(self.heard_at)) > limit
         });
-        owes || (self.running > 0 && now.since(self.heard_at) > RUNNING_SILENCE)
+        let was_silent = self
+            .silent_at
+            .is_some_and(|at| self.unread.iter().any(|prompt| prompt.sent_at <= at));
+        owes || was_silent || (self.running > 0 && now.since(self.heard_at) > RUNNING_SILENCE)
     }
 
     /// Returns whether an event of some stream came within a time.
@@ -117,9 +122,21 @@
         now.since(self.heard_at) <= time
     }
 
+    /// Returns whether the engine owes a first event or runs a stream.
+    pub fn owes(&self) -> bool {
+        self.running > 0 || !self.unread.is_empty()
+    }
+
     /// Notes that an event of some stream came.
     pub const fn heard(&mut self, now: Timestamp) {
         self.heard_at = now;
+        self.silent_at = None;
+    }
+
+    /// Notes that a call left the engine for its silence. What was sent until then does not wait
+    /// for as long again when the calls that showed the silence are gone.
+    pub const fn note_silent(&mut self, now: Timestamp) {
+        self.silent_at = Some(now);
     }
 
     /// Notes that a stream whose first event came has ended.
@@ -201,7 +218,7 @@
         adapter_seed: u64,
     ) -> Option<Duration> {
         let position = self.position(ticket)?;
-        self.heard_at = now;
+        self.heard(now);
         self.running += 1;
         let elapsed = now.since(self.unread[position].sent_at);
         let took = elapsed.as_secs_f64();
--- a/crates/amaranth-dispatch/tests/engine_placer.rs
+++ b/crates/amaranth-dispatch/tests/engine_placer.rs
@@ -223,6 +223,16 @@
     assert_eq!(placed(&book, "x").0, "frozen", "it sends events");
 }
 
+#[test]
+fn calls_leave_an_engine_on_a_silent_vm_sooner() {
+    let mut book = book(&[("frozen", "a1", &["x"])]);
+    load_engine(&mut book, "frozen", 1);
+    let soon = Timestamp::from_millis(60_800);
+    assert!(!book.get(&name("frozen")).expect("known").is_silent(soon));
+    book.forget_view(&name("frozen"), AgentLoss::VmSilent);
+    assert!(book.get(&name("frozen")).expect("known").is_silent(soon));
+}
+
 #[test]
 fn an_engine_whose_agent_ended_keeps_its_calls() {
     let mut book = book(&[("alone", "a1", &["x"]), ("well", "a1", &[])]);
--- a/crates/amaranth-relay/src/endpoint_choice.rs
+++ b/crates/amaranth-relay/src/endpoint_choice.rs
@@ -151,6 +151,15 @@
                 continue;
             }
         }
+        let left_another = !history.tried().is_empty();
+        if left_another
+            && choice.reason == PlaceReason::Held
+            && !core.vm_answers(&choice.endpoint).await
+        {
+            // VMs freeze or are cut off together, and a call has few sends.
+            excluded.push(choice.endpoint);
+            continue;
+        }
         if !is_open(core, &choice.endpoint) {
             // It began to leave while the call waited for the load.
             continue;
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -7,7 +7,9 @@
 
 use amaranth_core::ids::{AdapterName, EndpointId, ModelName};
 use amaranth_core::time::Timestamp;
-use amaranth_dispatch::endpoint_book::{BookChange, EndpointBook, EndpointRecord, RegistryEvent};
+use amaranth_dispatch::endpoint_book::{
+    AgentLoss, BookChange, EndpointBook, EndpointRecord, RegistryEvent,
+};
 use amaranth_dispatch::engine_placer::Locality;
 use amaranth_dispatch::engine_view::{LoadOutcome, LoadWish};
 use amaranth_dispatch::load_gate::{LoadGate, LoadTicket};
@@ -19,7 +21,7 @@
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
 
-use crate::agent_link::AgentLinks;
+use crate::agent_link::{AgentLinks, AgentSilent};
 use crate::dialect::CallDialect;
 use crate::endpoint_pool::EndpointPool;
 use crate::feed::FeedEvent;
@@ -27,6 +29,13 @@
 use crate::readiness::{EntryStage, StageCell};
 use crate::suspend_clock::SuspendClock;
 
+/// A revision that no view has: the agent answers at once.
+const UNSEEN_REVISION: u64 = u64::MAX;
+
+/// Time within which a VM answers: the way abroad and back, and a quota's tenth of a second at
+/// both ends.
+const VM_ANSWER_TIME: Duration = Duration::from_millis(250);
+
 /// What an entry is told at its start.
 #[derive(Debug, Clone)]
 pub struct EntryOptions {
@@ -347,6 +356,42 @@
         outcome
     }
 
+    /// Tells an engine's agent of this entry's use and hears at once what it knows.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the agent can't be reached in time.
+    pub async fn hear_agent(&self, id: &EndpointId) -> Result<(), AgentSilent> {
+        let (usage, address) = {
+            let mut state = self.state();
+            let Some(endpoint) = state.book.get(id) else {
+                return Ok(());
+            };
+            let address = endpoint.record.address;
+            (state.book.take_usage(&self.options.name, id), address)
+        };
+        let agent = SocketAddr::new(address.ip(), self.options.agent_port);
+        let view = self
+            .agents
+            .exchange(agent, usage, UNSEEN_REVISION, Duration::ZERO)
+            .await?;
+        let now = self.now();
+        self.state().book.take_view(now, id, view);
+        Ok(())
+    }
+
+    /// Returns whether the VM of an engine answers now, with or without an agent.
+    pub async fn vm_answers(&self, id: &EndpointId) -> bool {
+        let loss = match timeout(VM_ANSWER_TIME, self.hear_agent(id)).await {
+            Ok(Ok(())) => return true,
+            Ok(Err(error)) => error.loss,
+            Err(_) => AgentLoss::VmSilent,
+        };
+        self.state().book.forget_view(id, loss);
+        log::info!("event=agent_lost endpoint={id} loss={loss}");
+        loss == AgentLoss::ProcessEnded
+    }
+
     async fn ask_agent(&self, key: LoadKey, address: SocketAddr, wish: LoadWish) -> LoadOutcome {
         let wished = wished_adapter(&key);
         if let Some(wished) = &wished {
--- a/crates/amaranth-relay/src/entry_tasks.rs
+++ b/crates/amaranth-relay/src/entry_tasks.rs
@@ -35,11 +35,8 @@
 /// Least time between two exchanges with an agent.
 const EXCHANGE_INTERVAL: Duration = Duration::from_millis(40);
 
-/// A revision that no view has: the agent answers at once.
-const UNSEEN_REVISION: u64 = u64::MAX;
-
 /// The time for which an agent in another region waits before it answers an exchange.
-const FAR_EXCHANGE_WAIT: Duration = Duration::from_millis(2_500);
+const FAR_EXCHANGE_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Least time between two exchanges with an agent in another region: their bytes have a price.
 const FAR_EXCHANGE_INTERVAL: Duration = Duration::from_millis(1_200);
@@ -157,26 +154,9 @@
 }
 
 async fn announce_use(core: Arc<EntryCore>, id: EndpointId) {
-    let (usage, address) = {
-        let mut state = core.state();
-        let Some(endpoint) = state.book.get(&id) else {
-            return;
-        };
-        let address = endpoint.record.address;
-        (state.book.take_usage(&core.options.name, &id), address)
-    };
-    let agent = SocketAddr::new(address.ip(), core.options.agent_port);
-    let told = core
-        .agents
-        .exchange(agent, usage, UNSEEN_REVISION, Duration::ZERO)
-        .await;
-    match told {
-        Ok(view) => {
-            let now = core.now();
-            core.state().book.take_view(now, &id, view);
-        }
+    if let Err(error) = core.hear_agent(&id).await {
         // The exchange that is always under way logs what is lost.
-        Err(error) => log::debug!("event=use_not_announced endpoint={id} error={error}"),
+        log::debug!("event=use_not_announced endpoint={id} error={error}");
     }
 }
 
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranth_core::ids::EndpointId;
+use amaranth_core::time::Timestamp;
 use amaranth_dispatch::call::GenerationNeed;
 use amaranth_dispatch::endpoint_book::EndpointOutcome;
 use amaranth_dispatch::engine_estimate::PromptTicket;
@@ -11,6 +12,10 @@
 
 use crate::entry::EntryCore;
 
+/// Time without an event after which an engine that is no longer listed counts as silent. An engine
+/// that left goes on with its calls, and sends events more often than that.
+const UNLISTED_SILENCE: Duration = Duration::from_millis(1_500);
+
 /// The predicted and the real time from the send to the first event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FirstEventPrediction {
@@ -29,6 +34,7 @@
     ticket: Option<PromptTicket>,
     runs: bool,
     prediction: Option<FirstEventPrediction>,
+    heard_at: Timestamp,
     outcome: EndpointOutcome,
 }
 
@@ -40,6 +46,7 @@
         need: Option<Arc<GenerationNeed>>,
     ) -> Self {
         let used = need.as_deref().and_then(used_adapter);
+        let heard_at = core.now();
         let begins = core.state().book.begin_call(&endpoint, used);
         if begins {
             core.announce_use(&endpoint);
@@ -51,6 +58,7 @@
             ticket: None,
             runs: false,
             prediction: None,
+            heard_at,
             outcome: EndpointOutcome::Inconclusive,
         }
     }
@@ -66,6 +74,7 @@
             return;
         };
         let now = self.core.now();
+        self.heard_at = now;
         let mut state = self.core.state();
         if let Some(endpoint) = state.book.get_mut(&self.endpoint) {
             let batch = endpoint.calls();
@@ -93,25 +102,42 @@
         }
     }
 
+    /// Returns whether the first event has come.
+    pub const fn runs(&self) -> bool {
+        self.runs
+    }
+
     /// Returns how the time of the first event was predicted, once it has come.
     pub const fn prediction(&self) -> Option<FirstEventPrediction> {
         self.prediction
     }
 
     /// Notes that an event came.
-    pub fn heard(&self) {
+    pub fn heard(&mut self) {
         let now = self.core.now();
+        self.heard_at = now;
         if let Some(endpoint) = self.core.state().book.get_mut(&self.endpoint) {
             endpoint.estimate.heard(now);
         }
     }
 
-    /// Returns whether the engine has sent nothing to any call for much longer than expected.
+    /// Returns whether the engine has sent nothing to any call for much longer than expected. Of an
+    /// engine that is no longer listed, only what this call heard is known.
     pub fn is_silent(&self) -> bool {
         let now = self.core.now();
         let state = self.core.state();
-        let endpoint = state.book.get(&self.endpoint);
-        endpoint.is_some_and(|endpoint| endpoint.is_silent(now))
+        match state.book.get(&self.endpoint) {
+            Some(endpoint) => endpoint.is_silent(now),
+            None => self.need.is_some() && now.since(self.heard_at) > UNLISTED_SILENCE,
+        }
+    }
+
+    /// Notes that the call leaves its engine for its silence.
+    pub fn note_silent(&self) {
+        let now = self.core.now();
+        if let Some(endpoint) = self.core.state().book.get_mut(&self.endpoint) {
+            endpoint.estimate.note_silent(now);
+        }
     }
 
     /// Notes how the call went, for the endpoint's health.
--- a/crates/amaranth-relay/src/silence_watch.rs
+++ b/crates/amaranth-relay/src/silence_watch.rs
@@ -54,17 +54,26 @@
         history: Option<&AttemptHistory>,
         position: AnswerPosition,
     ) -> SilenceStep {
+        let about_to_leave = Instant::now() >= call.gives_up_at(position);
+        // The rest of a stream takes longer than what is left.
+        if about_to_leave && call.need.is_some() && !guard.runs() {
+            return self.give_up(call, guard, "no-event");
+        }
         if !guard.is_silent() {
             return SilenceStep::Wait;
         }
-        let step = if Instant::now() >= call.gives_up_at(position) {
-            SilenceStep::GiveUp
-        } else if history.is_some_and(|history| call.may_move(core, history)) {
+        if about_to_leave {
+            return self.give_up(call, guard, "silent");
+        }
+        let step = if history.is_some_and(|history| call.may_move(core, history)) {
             SilenceStep::Move
         } else {
             SilenceStep::Wait
         };
-        if step != SilenceStep::Wait || !std::mem::replace(&mut self.told, true) {
+        if step == SilenceStep::Move {
+            guard.note_silent();
+        }
+        if step == SilenceStep::Move || !std::mem::replace(&mut self.told, true) {
             log::info!(
                 "event=engine_silent id={} endpoint={} action={step} retries_left={}",
                 call.head.id,
@@ -74,4 +83,13 @@
         }
         step
     }
+
+    fn give_up(&self, call: &Call, guard: &SendGuard, engine: &str) -> SilenceStep {
+        log::info!(
+            "event=call_given_up id={} endpoint={} engine={engine}",
+            call.head.id,
+            guard.endpoint()
+        );
+        SilenceStep::GiveUp
+    }
 }
--- a/crates/amaranth-relay/tests/relay/streams.rs
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -2,13 +2,17 @@
 
 use std::time::{Duration, Instant};
 
+use amaranth_dispatch::endpoint_book::RegistryEvent;
+use amaranth_dispatch::engine_view::EngineView;
 use amaranth_dispatch::routes::RouteKind;
+use amaranth_relay::feed::FeedEvent;
 use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
 use tokio::time::sleep;
 
 use crate::support::{
     FakeEndpoint, LAST_CHUNK, Reply, TestEntry, chunk, event, header, post, post_for, read_to_end,
-    read_until, route, status, stream_head, untouched,
+    read_until, record, route, status, stream_head, untouched,
 };
 
 fn whole_stream(call: &str, ids: std::ops::RangeInclusive<u64>) -> Reply {
@@ -208,6 +212,37 @@
     );
 }
 
+/// The load: engines that are left after a loss are so busy that a first event does not come in
+/// time. Its agent says that the engine is well.
+#[tokio::test]
+async fn a_call_without_an_event_ends_before_its_caller_leaves() {
+    let busy = FakeEndpoint::bind(vec![Reply::Silence]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&busy]);
+    let id = "e0".parse().expect("a name");
+    let telling = async {
+        for _ in 0..12 {
+            let mut view = EngineView::default();
+            view.contents.cache_total = 1_000;
+            view.contents.models = vec!["m".parse().expect("a name")];
+            let now = entry.core.now();
+            entry.core.state().book.take_view(now, &id, view);
+            sleep(Duration::from_millis(200)).await;
+        }
+    };
+    let started = Instant::now();
+    let answering = async {
+        let answer = entry.call(&post("c1", "Wants: m\r\n")).await;
+        (answer, started.elapsed())
+    };
+    let ((answer, took), ()) = tokio::join!(answering, telling);
+    assert_eq!(status(&answer), "502", "{answer}");
+    assert!(
+        took < Duration::from_millis(1_950),
+        "the caller waits for 2 s"
+    );
+    assert!(took > Duration::from_millis(1_500), "the engine works");
+}
+
 #[tokio::test]
 async fn a_stream_of_a_silent_engine_ends_before_its_caller_leaves() {
     let first = stream_head("c1") + &event(1);
@@ -230,6 +265,50 @@
     );
 }
 
+/// The registry forgets an engine that says nothing, while calls wait there.
+#[tokio::test]
+async fn a_generation_leaves_a_silent_engine_that_is_no_longer_listed() {
+    let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
+    let well = FakeEndpoint::bind(vec![whole_stream("c1", 1..=3)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&frozen, &well]);
+    let request = post_for("c1", 3_000, "Wants: m\r\n");
+    let forget = async {
+        sleep(Duration::from_millis(300)).await;
+        let removed = RegistryEvent::Removed("e0".parse().expect("a name"));
+        entry.core.take_registry(FeedEvent::Changes(vec![removed]));
+    };
+    let (answer, ()) = tokio::join!(entry.call(&request), forget);
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+}
+
+/// The load: several VMs freeze together. A call that left the first must not go to the second,
+/// where no call of this entry showed the silence yet.
+#[tokio::test]
+async fn a_generation_does_not_leave_for_an_engine_on_a_vm_that_says_nothing() {
+    let silent_agent = TcpListener::bind("127.0.0.2:0").await.expect("a free port");
+    let port = silent_agent.local_addr().expect("an address").port();
+    let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
+    let frozen_too = FakeEndpoint::bind_at("127.0.0.2", vec![Reply::Silence]).await;
+    let well = FakeEndpoint::bind(vec![whole_stream("c1", 1..=3)]).await;
+    let entry = TestEntry::bind_beside(port);
+    entry.configure(1, vec![route(RouteKind::Stream, true, 2)]);
+    let mut busy = record(2, well.address, "far");
+    busy.contents.unread = 8;
+    let records = [
+        record(0, frozen.address, ""),
+        record(1, frozen_too.address, "far"),
+        busy,
+    ];
+    let announced = records.map(|record| RegistryEvent::Announced(Box::new(record)));
+    entry
+        .core
+        .take_registry(FeedEvent::Whole(announced.to_vec()));
+    let answer = entry.call(&post_for("c1", 3_000, "Wants: m\r\n")).await;
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+    assert_eq!(frozen.arrivals().len(), 1);
+    assert!(frozen_too.arrivals().is_empty());
+}
+
 #[tokio::test]
 async fn later_generations_pass_a_silent_engine_over() {
     let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -185,7 +185,12 @@
 impl FakeEndpoint {
     /// Listens on loopback.
     pub async fn bind(replies: Vec<Reply>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Self::bind_at("127.0.0.1", replies).await
+    }
+
+    /// Listens at an address of loopback, which stands for a VM.
+    pub async fn bind_at(vm: &str, replies: Vec<Reply>) -> Self {
+        let listener = TcpListener::bind((vm, 0)).await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let arrivals = Arc::new(Mutex::new(Vec::new()));
         let closed = Arc::new(Mutex::new(0));
@@ -346,12 +351,17 @@
 impl TestEntry {
     /// Starts an entry that knows nothing.
     pub fn bind() -> Self {
+        Self::bind_beside(1)
+    }
+
+    /// Starts an entry that knows nothing but the port of agents.
+    pub fn bind_beside(agent_port: u16) -> Self {
         let options = EntryOptions {
             name: "entry".to_owned(),
             locality: Locality::default(),
             callers: "127.0.0.1:0".parse().expect("an address"),
             readiness: "127.0.0.1:0".parse().expect("an address"),
-            agent_port: 1,
+            agent_port,
             retries: RetryLimits {
                 ratio: 0.2,
                 slack: 50,
