Let calls wait for a model that all engines load again

Change: while no engine holds the model and some agent can have it loaded, a call waits for 1.5 objectives. Tests: calls_wait_for_a_model_that_all_engines_load plays the load, 0 of 100 refused against 20; a_generation_waits_for_the_model_after_a_loss_of_all_engines and a_model_is_coming_while_no_engine_holds_it_and_some_agent_is_there.

--- a/crates/amaranth-dispatch/src/endpoint_book.rs
+++ b/crates/amaranth-dispatch/src/endpoint_book.rs
@@ -286,6 +286,18 @@
         self.endpoints.get_mut(id)
     }
 
+    /// Returns whether no endpoint that takes calls holds a model, and an agent is there that can
+    /// have one load it.
+    pub fn is_model_coming(&self, service: &ServiceName, model: &ModelName) -> bool {
+        let mut open = self.of_service(service).filter(|state| state.is_open());
+        let mut any_heard = false;
+        let held = open.any(|state| {
+            any_heard |= state.view.is_some();
+            state.contents().models.contains(model)
+        });
+        any_heard && !held
+    }
+
     /// Iterates over the endpoints of a service.
     pub fn of_service<'a>(
         &'a self,
--- a/crates/amaranth-dispatch/src/place_line.rs
+++ b/crates/amaranth-dispatch/src/place_line.rs
@@ -5,11 +5,25 @@
 //! refusing at once; and whoever is first in line tries first, by rank, then by age.
 
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 /// Calls at the head of the line that try when something changes. One that can't use what became
 /// free does not hold up those behind it.
 const HEAD: usize = 6;
 
+/// Part of the objective for which a call waits for a place at engines that hold its model.
+const PLACE_PART: f64 = 0.6;
+
+/// The same while every engine still loads the model, as after a loss of all VMs: loads from what
+/// engines keep at hand take about a second, and whoever is refused comes back to the same crowd.
+const MODEL_PART: f64 = 1.5;
+
+/// Returns how long a call waits in line. `model_coming` says that no engine holds its model, and
+/// that some load it.
+pub fn patience(objective: Duration, model_coming: bool) -> Duration {
+    objective.mul_f64(if model_coming { MODEL_PART } else { PLACE_PART })
+}
+
 /// A call's position in the line.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinePosition {
--- a/crates/amaranth-dispatch/tests/endpoint_book.rs
+++ b/crates/amaranth-dispatch/tests/endpoint_book.rs
@@ -11,7 +11,7 @@
 };
 use rstest::rstest;
 
-use support::{announce, engine, name};
+use support::{announce, engine, name, view};
 
 const NOW: Timestamp = Timestamp::from_millis(10_000);
 
@@ -31,6 +31,28 @@
     range.map(|index| name(&format!("e{index}"))).collect()
 }
 
+#[test]
+fn a_model_is_coming_while_no_engine_holds_it_and_some_agent_is_there() {
+    let (service, model) = (name("llm"), name("m"));
+    let mut book = EndpointBook::default();
+    let mut empty = engine("e1", "a1", &[]);
+    empty.contents.models.clear();
+    announce(&mut book, empty);
+    assert!(
+        !book.is_model_coming(&service, &model),
+        "nobody can load it"
+    );
+    let mut told = view(&[]);
+    told.contents.models.clear();
+    book.take_view(Timestamp::from_millis(1), &name("e1"), told);
+    assert!(book.is_model_coming(&service, &model));
+    announce(&mut book, engine("e2", "a1", &[]));
+    assert!(
+        !book.is_model_coming(&service, &model),
+        "another engine holds it"
+    );
+}
+
 #[test]
 fn an_older_announcement_of_the_same_start_changes_nothing() {
     let mut book = EndpointBook::default();
--- a/crates/amaranth-dispatch/tests/place_line.rs
+++ b/crates/amaranth-dispatch/tests/place_line.rs
@@ -1,6 +1,26 @@
 //! The line of calls that wait for a place.
 
-use amaranth_dispatch::place_line::PlaceLine;
+use std::time::Duration;
+
+use amaranth_dispatch::place_line::{PlaceLine, patience};
+
+/// Plays a loss of all VMs: a call arrives each 20 ms for two seconds, and engines hold their model
+/// again after one second. Returns how many of 100 calls are refused.
+fn refused_after_a_loss(patience: impl Fn(bool) -> Duration) -> usize {
+    let model_comes = Duration::from_secs(1);
+    (0..100)
+        .map(|call| Duration::from_millis(call * 20))
+        .filter(|arrival| *arrival + patience(*arrival < model_comes) < model_comes)
+        .count()
+}
+
+#[test]
+fn calls_wait_for_a_model_that_all_engines_load() {
+    let objective = Duration::from_secs(1);
+    let refused = refused_after_a_loss(|coming| patience(objective, coming));
+    let naive = refused_after_a_loss(|_| patience(objective, false));
+    assert_eq!((refused, naive), (0, 20));
+}
 
 #[test]
 fn the_most_urgent_and_oldest_try_first() {
--- a/crates/amaranth-relay/src/endpoint_choice.rs
+++ b/crates/amaranth-relay/src/endpoint_choice.rs
@@ -10,7 +10,7 @@
 use amaranth_dispatch::endpoint_book::EndpointState;
 use amaranth_dispatch::engine_placer::{self, EngineChoice, PlaceQuery, PlaceReason};
 use amaranth_dispatch::engine_view::LoadOutcome;
-use amaranth_dispatch::place_line::LinePosition;
+use amaranth_dispatch::place_line::{self, LinePosition};
 use amaranth_dispatch::refusal::{Refusal, RefusalCause};
 use amaranth_dispatch::routes::EngineRule;
 use amaranth_dispatch::service_picker::{self, PickQuery};
@@ -25,9 +25,6 @@
 /// Time for which a call waits for an adapter before it is placed anew, in objectives.
 const LOAD_PATIENCE_OBJECTIVES: u32 = 2;
 
-/// Part of the objective for which a call waits for a place at an engine.
-const PLACE_PATIENCE_PART: f64 = 0.6;
-
 /// Time after which a call in line looks again, without news.
 const LINE_INTERVAL: Duration = Duration::from_millis(80);
 
@@ -221,9 +218,23 @@
     }
     let position = core.state().line.join(call.route.priority);
     let stay = LineStay { core, position };
-    let patience = call.route.objective.mul_f64(PLACE_PATIENCE_PART);
-    let until = (Instant::now() + patience).min(call.expires);
-    while Instant::now() < until {
+    let joined = Instant::now();
+    let ends = |model_coming| {
+        (joined + place_line::patience(call.route.objective, model_coming)).min(call.expires)
+    };
+    let mut until = ends(false);
+    loop {
+        if Instant::now() >= until {
+            // Engines may have lost the model, or got it, while the call waits.
+            let coming = core
+                .state()
+                .book
+                .is_model_coming(&call.service, &need.model);
+            until = ends(coming);
+            if Instant::now() >= until {
+                break;
+            }
+        }
         let changed = core.changed();
         let wait = (Instant::now() + LINE_INTERVAL).min(until);
         // Engines' estimates change with time too, so that nobody waits for news alone.
@@ -239,7 +250,7 @@
     log::info!(
         "event=no_place id={} waited_ms={} line={waiting}",
         call.head.id,
-        patience.as_millis()
+        joined.elapsed().as_millis()
     );
     Err(Refusal::after(
         RefusalCause::AdapterWait,
--- a/crates/amaranth-relay/tests/relay/streams.rs
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -309,6 +309,36 @@
     assert!(frozen_too.arrivals().is_empty());
 }
 
+/// The load: all VMs were lost, and engines load their model again.
+#[tokio::test]
+async fn a_generation_waits_for_the_model_after_a_loss_of_all_engines() {
+    let engine = FakeEndpoint::bind(vec![whole_stream("c1", 1..=3)]).await;
+    let entry = TestEntry::bind();
+    entry.configure(1, vec![route(RouteKind::Stream, true, 2)]);
+    let mut empty = record(0, engine.address, "");
+    empty.contents.models.clear();
+    let announced = RegistryEvent::Announced(Box::new(empty));
+    entry.core.take_registry(FeedEvent::Whole(vec![announced]));
+    let id = "e0".parse().expect("a name");
+    let tell = |models: &[&str]| {
+        let mut view = EngineView::default();
+        view.contents.models = models
+            .iter()
+            .map(|model| model.parse().expect("a name"))
+            .collect();
+        let now = entry.core.now();
+        entry.core.state().book.take_view(now, &id, view);
+    };
+    tell(&[]);
+    let loading = async {
+        sleep(Duration::from_millis(1_000)).await;
+        tell(&["m"]);
+    };
+    let request = post_for("c1", 3_000, "Wants: m\r\n");
+    let (answer, ()) = tokio::join!(entry.call(&request), loading);
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+}
+
 #[tokio::test]
 async fn later_generations_pass_a_silent_engine_over() {
     let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
