Answer calls that are given up with 504, and explain them

Cause: a call that ends because its caller is about to leave was logged as outcome-unknown, whose explanation says that the call may not be repeated. Change: such calls end as timed-out (504, which promises nothing, as 502 did); amaranthctl explain says whether the engine was silent or sent no event.

--- a/crates/amaranth-ctl/src/commands/explain_logs.rs
+++ b/crates/amaranth-ctl/src/commands/explain_logs.rs
@@ -158,6 +158,10 @@
         .filter_map(|line| match line.event() {
             "send_failed" => line.value("failure"),
             "stream_broken" => Some("stream-broken"),
+            "call_given_up" => Some(match line.value("engine") {
+                Some("silent") => "engine-silent",
+                _ => "no-event-in-time",
+            }),
             _ => None,
         })
         .collect();
--- a/crates/amaranth-ctl/tests/ctl/explaining.rs
+++ b/crates/amaranth-ctl/tests/ctl/explaining.rs
@@ -14,6 +14,9 @@
 ts=2026-04-14T09:41:44.877Z level=info target=amaranth_relay::call_task event=call id=573c route=r2 kind=stream endpoint=- outcome=adapter-wait adapter=a693 status=503 took_ms=601 config=18
 ts=2026-04-14T09:41:20.617Z level=info target=amaranth_relay::stream_relay event=stream_broken id=466d endpoint=i-2a events=3 last_event=3 reason=\"error reading a body from connection\"
 ts=2026-04-14T09:41:20.618Z level=info target=amaranth_relay::stream_relay event=call id=466d route=r2 kind=stream endpoint=- outcome=broken adapter=a1192 status=200 predicted_ms=337 engine_ms=337 first_ms=3808 took_ms=4439 events=3 sends=2 config=8
+ts=2026-04-14T09:41:50.100Z level=info target=amaranth_relay::silence_watch event=engine_silent id=77aa endpoint=i-31 action=wait retries_left=12
+ts=2026-04-14T09:41:52.400Z level=info target=amaranth_relay::silence_watch event=call_given_up id=77aa endpoint=i-31 engine=silent
+ts=2026-04-14T09:41:52.401Z level=info target=amaranth_relay::call_record event=call id=77aa route=r3 kind=stream endpoint=i-31 outcome=timed-out adapter=a7 status=504 took_ms=3801 config=18
 ";
 
 async fn explain(id: &str) -> (ExitStatus, String) {
@@ -27,6 +30,7 @@
 #[case::refused("573c")]
 #[case::cut_off_midway("466d")]
 #[case::ambiguous("6021")]
+#[case::given_up("77aa")]
 #[tokio::test]
 async fn a_failed_call_is_followed_to_its_cause(#[case] id: &str) {
     let (status, report) = explain(id).await;
--- a/crates/amaranth-dispatch/src/attempts.rs
+++ b/crates/amaranth-dispatch/src/attempts.rs
@@ -22,7 +22,8 @@
     Failed,
     /// The call was sent, and no answer that can be trusted came back.
     Ambiguous,
-    /// The call was sent, the endpoint has fallen silent, and the caller is about to leave.
+    /// The call was sent, the caller is about to leave, and the endpoint has fallen silent or sent
+    /// no event yet.
     GivenUp,
 }
 
@@ -121,6 +122,9 @@
         if failure == SendFailure::Failed {
             return NextStep::PassOn;
         }
+        if failure == SendFailure::GivenUp {
+            return NextStep::Refuse(RefusalCause::TimedOut);
+        }
         if self.may_have_run() {
             return NextStep::Refuse(RefusalCause::OutcomeUnknown);
         }
