Do not give up streams of engines that are no longer listed

Cause (found by reading the change): whether a first event had come was kept with the endpoint's estimate, which an unlisted engine no longer has; a stream that such an engine still sent was ended 200 ms before its caller's deadline. Ruled out: the silence of unlisted engines, which is judged by what the call heard. Change: the call's own place at the engine notes its events. Test: a_stream_of_an_engine_that_is_no_longer_listed_is_passed_on_to_its_end failed first. a_generation_leaves_a_silent_engine_that_is_no_longer_listed now checks that the engine is unlisted; with two endpoints the removal waited.

--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -33,6 +33,7 @@
     need: Option<Arc<GenerationNeed>>,
     ticket: Option<PromptTicket>,
     runs: bool,
+    has_event: bool,
     prediction: Option<FirstEventPrediction>,
     heard_at: Timestamp,
     outcome: EndpointOutcome,
@@ -57,6 +58,7 @@
             need,
             ticket: None,
             runs: false,
+            has_event: false,
             prediction: None,
             heard_at,
             outcome: EndpointOutcome::Inconclusive,
@@ -102,9 +104,9 @@
         }
     }
 
-    /// Returns whether the first event has come.
-    pub const fn runs(&self) -> bool {
-        self.runs
+    /// Returns whether an event has come, also from an engine that is no longer listed.
+    pub const fn has_event(&self) -> bool {
+        self.has_event
     }
 
     /// Returns how the time of the first event was predicted, once it has come.
@@ -116,6 +118,7 @@
     pub fn heard(&mut self) {
         let now = self.core.now();
         self.heard_at = now;
+        self.has_event = true;
         if let Some(endpoint) = self.core.state().book.get_mut(&self.endpoint) {
             endpoint.estimate.heard(now);
         }
--- a/crates/amaranth-relay/src/silence_watch.rs
+++ b/crates/amaranth-relay/src/silence_watch.rs
@@ -56,7 +56,7 @@
     ) -> SilenceStep {
         let about_to_leave = Instant::now() >= call.gives_up_at(position);
         // The rest of a stream takes longer than what is left.
-        if about_to_leave && call.need.is_some() && !guard.runs() {
+        if about_to_leave && call.need.is_some() && !guard.has_event() {
             return self.give_up(call, guard, "no-event");
         }
         if !guard.is_silent() {
--- a/crates/amaranth-relay/tests/relay/streams.rs
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -270,12 +270,16 @@
 async fn a_generation_leaves_a_silent_engine_that_is_no_longer_listed() {
     let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
     let well = FakeEndpoint::bind(vec![whole_stream("c1", 1..=3)]).await;
-    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&frozen, &well]);
+    let other = FakeEndpoint::bind(vec![whole_stream("c1", 1..=3)]).await;
+    let endpoints = [&frozen, &well, &other];
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &endpoints);
     let request = post_for("c1", 3_000, "Wants: m\r\n");
     let forget = async {
         sleep(Duration::from_millis(300)).await;
         let removed = RegistryEvent::Removed("e0".parse().expect("a name"));
         entry.core.take_registry(FeedEvent::Changes(vec![removed]));
+        let id = "e0".parse().expect("a name");
+        assert!(entry.core.state().book.get(&id).is_none(), "it is unlisted");
     };
     let (answer, ()) = tokio::join!(entry.call(&request), forget);
     assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
@@ -339,6 +343,34 @@
     assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
 }
 
+/// An engine that left the registry goes on with its streams, up to the end of the call's time.
+#[tokio::test]
+async fn a_stream_of_an_engine_that_is_no_longer_listed_is_passed_on_to_its_end() {
+    let pieces = vec![
+        (600, stream_head("c1") + &event(1)),
+        (600, event(2)),
+        (680, event(3) + LAST_CHUNK),
+    ];
+    let leaving = FakeEndpoint::bind(vec![Reply::Pieces(pieces)]).await;
+    let (one, other) = (
+        FakeEndpoint::bind(Vec::new()).await,
+        FakeEndpoint::bind(Vec::new()).await,
+    );
+    let endpoints = [&leaving, &one, &other];
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 2), &endpoints);
+    let request = post("c1", "Wants: m\r\n");
+    let forget = async {
+        sleep(Duration::from_millis(200)).await;
+        let removed = RegistryEvent::Removed("e0".parse().expect("a name"));
+        entry.core.take_registry(FeedEvent::Changes(vec![removed]));
+        let id = "e0".parse().expect("a name");
+        assert!(entry.core.state().book.get(&id).is_none(), "it is unlisted");
+    };
+    let (answer, ()) = tokio::join!(entry.call(&request), forget);
+    assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
+    assert!(answer.ends_with(LAST_CHUNK), "{answer}");
+}
+
 #[tokio::test]
 async fn later_generations_pass_a_silent_engine_over() {
     let frozen = FakeEndpoint::bind(vec![Reply::Silence]).await;
