Log the shared prompt parts of calls whose engine broke off

Change: part ids are a type of their own; the two events of a broken call name the parts that other prompts may share. No decision changes. Checked: tests of dispatch, relay, platform and ctl pass.

--- a/crates/amaranth-dispatch/src/call.rs
+++ b/crates/amaranth-dispatch/src/call.rs
@@ -1,10 +1,13 @@
 //! The properties of a call that decisions depend on.
 
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_core::ids::{AdapterName, ModelName};
+use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
 
 /// The id of one attempt of a caller's call.
@@ -29,11 +32,31 @@
     }
 }
 
+/// The identity of the text of a prompt's part, written in hexadecimal.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:x}", self.0)
+    }
+}
+
+impl FromStr for PartId {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// A part of a prompt that other prompts may contain too.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct PromptPart {
     /// The identity of the part's text.
-    pub id: u64,
+    pub id: PartId,
     /// The length of the part in tokens.
     pub tokens: u32,
 }
@@ -59,6 +82,16 @@
 }
 
 impl GenerationNeed {
+    /// Returns the ids of the parts that other prompts may contain too: all but the last one, which
+    /// belongs to the call or its session.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared.iter().map(|part| part.id)
+    }
+
     /// Returns the number of tokens that the generation is expected to produce.
     pub fn expected_output(&self) -> u32 {
         self.output_hint
--- a/crates/amaranth-dispatch/src/engine_estimate.rs
+++ b/crates/amaranth-dispatch/src/engine_estimate.rs
@@ -289,7 +289,7 @@
 /// part's number of tokens.
 fn prefix_keys(parts: &[PromptPart], seed: u64) -> impl Iterator<Item = (u64, u32)> {
     parts.iter().scan(seed, |key, part| {
-        *key = amaranth_core::digest::hash64(*key, &part.id.to_le_bytes());
+        *key = amaranth_core::digest::hash64(*key, &part.id.0.to_le_bytes());
         Some((*key, part.tokens))
     })
 }
--- a/crates/amaranth-dispatch/tests/support/mod.rs
+++ b/crates/amaranth-dispatch/tests/support/mod.rs
@@ -6,7 +6,7 @@
 use std::str::FromStr;
 use std::time::Duration;
 
-use amaranth_dispatch::call::{GenerationNeed, PromptPart, PromptParts};
+use amaranth_dispatch::call::{GenerationNeed, PartId, PromptPart, PromptParts};
 use amaranth_dispatch::endpoint_table::{EndpointRecord, EndpointTable, RegistryEvent};
 use amaranth_dispatch::engine_selector::Locality;
 use amaranth_dispatch::engine_view::{EngineContents, EngineView, HeldAdapter, LoadRequest};
@@ -99,8 +99,14 @@
         output_limit: 40,
         output_hint: None,
         parts: PromptParts::from_slice(&[
-            PromptPart { id: 1, tokens: 600 },
-            PromptPart { id: 2, tokens: 400 },
+            PromptPart {
+                id: PartId(1),
+                tokens: 600,
+            },
+            PromptPart {
+                id: PartId(2),
+                tokens: 400,
+            },
         ]),
     }
 }
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -113,9 +113,10 @@
                 guard.set_outcome(EndpointOutcome::Failed);
             }
             log::info!(
-                "event=connection_ended id={} endpoint={} error={error}",
+                "event=connection_ended id={} endpoint={} parts={} error={error}",
                 call.head.id,
-                guard.endpoint()
+                guard.endpoint(),
+                call.part_names()
             );
             return Err(FailedSend::without_answer(failure));
         }
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -69,6 +69,17 @@
         adapter.map_or("-", |adapter| adapter.as_str())
     }
 
+    /// Returns the ids of the shared parts of the prompt, separated by commas, for the log.
+    pub fn part_names(&self) -> String {
+        let need = self.need.iter();
+        let parts = need.flat_map(|need| need.shared_parts());
+        let names: Vec<String> = parts.map(|part| part.to_string()).collect();
+        if names.is_empty() {
+            return "-".to_owned();
+        }
+        names.join(",")
+    }
+
     /// Returns the position before anything was forwarded.
     pub const fn start_position(&self) -> AnswerPosition {
         AnswerPosition {
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -164,9 +164,10 @@
         StreamStep::Ended => (None, true),
         StreamStep::Broken(failure, reason) => {
             log::info!(
-                "event=stream_broken id={} endpoint={} events=0 reason={reason:?}",
+                "event=stream_broken id={} endpoint={} events=0 parts={} reason={reason:?}",
                 call.head.id,
-                source.guard.endpoint()
+                source.guard.endpoint(),
+                call.part_names()
             );
             source.guard.set_outcome(EndpointOutcome::Failed);
             return Err(FailedSend {
@@ -281,10 +282,11 @@
         let mut endpoint = broken.guard.endpoint().clone();
         drop(broken);
         log::info!(
-            "event=stream_broken id={} endpoint={endpoint} events={} last_event={} reason={reason:?}",
+            "event=stream_broken id={} endpoint={endpoint} events={} last_event={} parts={} reason={reason:?}",
             self.call.head.id,
             self.events,
-            self.position.last_event.unwrap_or(0)
+            self.position.last_event.unwrap_or(0),
+            self.call.part_names()
         );
         if !self.call.route.may_resume() || self.position.last_event.is_none() {
             return Err(AnswerBroken(reason));
