--- a/crates/amaranth-relay/tests/relay/main.rs
+++ b/crates/amaranth-relay/tests/relay/main.rs
@@ -2,11 +2,13 @@
 
 mod agent_peers;
 mod calls;
+mod crashing_engines;
 mod endless;
 mod endpoint_wishes;
 mod feeds;
 mod lifecycle;
 mod loads;
+mod quarantine;
 mod readers;
 mod store_histories;
 mod streams;
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranth_core::ids::EndpointId;
-use amaranth_dispatch::call::{CallHead, CallId, GenerationNeed, PromptParts};
+use amaranth_dispatch::call::{CallHead, CallId, GenerationNeed, PromptPart, PromptParts};
 use amaranth_dispatch::endpoint_table::{EndpointRecord, RegistryEvent};
 use amaranth_dispatch::engine_selector::Locality;
 use amaranth_dispatch::engine_view::EngineContents;
@@ -32,6 +32,7 @@
 const AFTER: HeaderName = HeaderName::from_static("after-event");
 const PROOF: HeaderName = HeaderName::from_static("proof");
 const ANSWERED_BY: HeaderName = HeaderName::from_static("by");
+const PARTS: HeaderName = HeaderName::from_static("parts");
 const WANTS: HeaderName = HeaderName::from_static("wants");
 const LEAVING: HeaderName = HeaderName::from_static("leaving");
 const PAUSE: HeaderName = HeaderName::from_static("pause-ms");
@@ -48,6 +49,17 @@
     headers.get(name)?.to_str().ok().map(str::to_owned)
 }
 
+/// Returns the prompt's parts, whose hexadecimal ids a header lists.
+fn parts(headers: &HeaderMap) -> PromptParts {
+    let list = text(headers, &PARTS).unwrap_or_default();
+    let ids = list.split(',').filter(|id| !id.is_empty());
+    ids.map(|id| PromptPart {
+        id: id.parse().expect("the id is hexadecimal"),
+        tokens: 10,
+    })
+    .collect()
+}
+
 impl CallCodec for PlainCodec {
     fn read_call(&self, head: &request::Parts) -> Result<CallHead, HeadError> {
         let id = text(&head.headers, &CALL).ok_or(HeadError {
@@ -67,7 +79,7 @@
                 prompt_tokens: 100,
                 output_limit: 10,
                 output_hint: None,
-                parts: PromptParts::new(),
+                parts: parts(&head.headers),
             }),
         })
     }
@@ -300,7 +312,7 @@
 }
 
 /// Reads a request whose body has a `Content-Length`.
-async fn read_request(stream: &mut TcpStream) -> Option<String> {
+pub async fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut bytes = Vec::new();
     loop {
         if let Some(head) = bytes.windows(4).position(|window| window == b"\r\n\r\n") {
