Quarantine prompt parts that crash engines, by the findings of all entries

Cause: an entry judged each failure by itself and against the engine only; what the calls that engines crashed under had in common was recorded nowhere, at no entry and not between entries. A poison request is handed to one engine after the other. Ruled out: orders and memory (crashes also seconds after the last order; two waves under the same orders); retries as the only cause (sends=1 in most records). Change: entries publish, for each crash, the parts of prompts whose answers had not survived, and survivals of suspects, in a keyed topic; each assesses the findings of all. A part that explains four crashes at three moments is quarantined for an hour: 503 at once, also for calls that wait, and before streams are resumed. Also tried: a quarantine of all parts that tie after six crashes; it refused sound calls with the same first part, so combinations are quarantined instead. Seen once: readers::an_entry_reads_the_store_itself_when_its_reader_is_cut_off failed while the whole suite ran (1,175 reads); being traced.

--- a/crates/amaranth-core/src/time.rs
+++ b/crates/amaranth-core/src/time.rs
@@ -1,4 +1,5 @@
-//! Timestamps, which are passed to the state machines, and the monotonic clock that creates them.
+//! Timestamps, which are passed to the state machines, the monotonic clock that creates them, and
+//! times on the wall clock, which processes exchange.
 
 use std::fmt;
 use std::ops::Add;
@@ -54,6 +55,52 @@
     }
 }
 
+/// A point in time on the wall clock, in milliseconds since the Unix epoch.
+///
+/// Wall clocks of different VMs differ a little, and any of them may jump by seconds.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct WallTime(u64);
+
+impl WallTime {
+    /// Creates a time from milliseconds since the Unix epoch.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self(millis)
+    }
+
+    /// Returns the time on the VM's clock.
+    pub fn now() -> Self {
+        let since_epoch = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+        Self::default() + since_epoch.unwrap_or_default()
+    }
+
+    /// Returns the milliseconds since the Unix epoch.
+    pub const fn as_millis(self) -> u64 {
+        self.0
+    }
+
+    /// Returns the duration from `earlier` to `self`, or zero if `earlier` is later.
+    pub const fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+impl Add<Duration> for WallTime {
+    type Output = Self;
+
+    fn add(self, delay: Duration) -> Self {
+        let millis = u64::try_from(delay.as_millis()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(millis))
+    }
+}
+
+impl fmt::Display for WallTime {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}ms", self.0)
+    }
+}
+
 /// A monotonic clock whose [`Timestamp`]s count from its creation.
 ///
 /// The programs own a clock and pass timestamps to the state machines, which read no clock.
--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod exchange_policy;
 pub mod fleet_size;
 pub mod load_limiter;
+pub mod prompt_quarantine;
 pub mod refusal;
 pub mod retry_quota;
 pub mod routes;
--- /dev/null
+++ b/crates/amaranth-dispatch/src/prompt_quarantine.rs
@@ -0,0 +1,409 @@
+//! The quarantine of prompt parts that crash engines.
+//!
+//! A prompt may contain a part that crashes each engine which begins to answer it. No single entry
+//! sees enough of the crashes, so entries exchange their findings: for each crash, the parts of the
+//! prompts whose answers had not survived, and the parts of prompts whose answers did. Every entry
+//! assesses the findings of all entries by itself. A part is quarantined while it explains several
+//! crashes, at different moments, that no other part explains better, and no prompt with it
+//! survived. Where several parts explain the same crashes, only prompts with all of them are
+//! quarantined.
+//!
+//! Findings are state, not messages: each entry publishes its findings as a whole, and those of one
+//! entry replace its earlier ones. Lost, repeated and reordered updates do no harm, and the
+//! quarantine is a function of the findings.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::time::Duration;
+
+use amaranth_core::ids::EndpointId;
+use amaranth_core::time::WallTime;
+use serde::{Deserialize, Serialize};
+
+use crate::call::PartId;
+
+/// Number of engines that a part must have crashed before it is quarantined.
+const MIN_CRASHES: usize = 4;
+
+/// Number of moments at which these crashes must have happened. Engines that fail together do so at
+/// one moment.
+const MIN_MOMENTS: usize = 3;
+
+/// Time between two moments.
+const MOMENT_GAP: Duration = Duration::from_millis(200);
+
+/// Time for which a crash counts.
+const CRASH_TIME: Duration = Duration::from_secs(3_600);
+
+/// Time after a prompt survived for which its parts are not suspects.
+const SURVIVAL_TIME: Duration = Duration::from_secs(30);
+
+/// Limit on the crashes that one entry reports, on the suspects of each, and on the survivals.
+const MAX_REPORTS: usize = 64;
+
+/// Limit on the survivals that an entry remembers, of its own and of those reported.
+const MAX_SURVIVALS: usize = 8_192;
+
+/// The crash of one incarnation of an engine, as one entry saw it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The engine.
+    pub engine: EndpointId,
+    /// The start time of the engine, in milliseconds of its own wall clock, if it states one.
+    pub started_ms: Option<u64>,
+    /// The time of the crash.
+    pub seen_at: WallTime,
+    /// The shared parts of the entry's prompts at the engine whose answers had not survived.
+    pub suspects: BTreeSet<PartId>,
+}
+
+/// A part of a prompt whose answer survived.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SurvivalReport {
+    /// The part.
+    pub part: PartId,
+    /// The time until which the answer had survived.
+    pub seen_at: WallTime,
+}
+
+/// What one entry found, as it publishes it.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct EntryFindings {
+    /// Crashes of engines.
+    pub crashes: Vec<CrashReport>,
+    /// Survivals of parts that some entry suspects.
+    pub survivals: Vec<SurvivalReport>,
+}
+
+/// The parts whose combination is quarantined: one part, or several of which no evidence tells yet
+/// which one crashes engines.
+pub type QuarantinedParts = BTreeSet<PartId>;
+
+/// The changes of an assessment.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct QuarantineChange {
+    /// The combinations that were quarantined, with the number of crashes that each explains.
+    pub begun: Vec<(QuarantinedParts, usize)>,
+    /// The combinations that are no longer quarantined.
+    pub ended: Vec<QuarantinedParts>,
+    /// Whether this entry's findings changed and have to be published.
+    pub must_publish: bool,
+}
+
+/// The crashes that a quarantined combination explains.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Verdict {
+    crashes: usize,
+    until: WallTime,
+}
+
+/// The suspects and the first sighting of one crash, from the reports of all entries.
+#[derive(Debug)]
+struct CrashEvidence {
+    seen_at: WallTime,
+    suspects: BTreeSet<PartId>,
+}
+
+/// The quarantined prompt parts, and the findings of all entries on which they rest.
+#[derive(Debug, Clone, Default)]
+pub struct PromptQuarantine {
+    own: EntryFindings,
+    peers: BTreeMap<String, EntryFindings>,
+    /// The newest survivals that this entry saw.
+    survived: HashMap<PartId, WallTime>,
+    /// The newest survivals that any entry reported.
+    reported: HashMap<PartId, WallTime>,
+    /// The parts that some entry suspects or suspected.
+    suspected: HashSet<PartId>,
+    active: BTreeMap<QuarantinedParts, Verdict>,
+}
+
+impl PromptQuarantine {
+    /// Returns the findings of this entry.
+    pub const fn findings(&self) -> &EntryFindings {
+        &self.own
+    }
+
+    /// Returns whether nothing is quarantined.
+    pub fn is_empty(&self) -> bool {
+        self.active.is_empty()
+    }
+
+    /// Returns the remaining time of the quarantine of a prompt with these shared parts, if it is
+    /// quarantined.
+    pub fn time_left(
+        &self,
+        now: WallTime,
+        parts: impl IntoIterator<Item = PartId>,
+    ) -> Option<Duration> {
+        if self.active.is_empty() {
+            return None;
+        }
+        let parts: BTreeSet<PartId> = parts.into_iter().collect();
+        let matching = self
+            .active
+            .iter()
+            .filter(|(quarantined, _)| quarantined.is_subset(&parts));
+        let left = matching.map(|(_, verdict)| verdict.until.since(now));
+        left.filter(|left| !left.is_zero()).max()
+    }
+
+    /// Records the crash of an engine. Reports of the same crash are merged.
+    pub fn record_crash(&mut self, now: WallTime, crash: CrashReport) -> QuarantineChange {
+        if !self.add_crash(crash) {
+            return QuarantineChange::default();
+        }
+        let mut change = self.assess(now);
+        change.must_publish = true;
+        change
+    }
+
+    /// Records that the answer to a prompt with these shared parts survived.
+    pub fn record_survival(
+        &mut self,
+        now: WallTime,
+        parts: impl IntoIterator<Item = PartId>,
+    ) -> QuarantineChange {
+        let mut is_news = false;
+        for part in parts {
+            self.survived.insert(part, now);
+            is_news |= self.publish_survival(part);
+        }
+        forget_older_half(&mut self.survived);
+        if !is_news {
+            return QuarantineChange::default();
+        }
+        let mut change = self.assess(now);
+        change.must_publish = true;
+        change
+    }
+
+    /// Replaces the findings of other entries.
+    pub fn apply(
+        &mut self,
+        now: WallTime,
+        findings: impl IntoIterator<Item = (String, EntryFindings)>,
+    ) -> QuarantineChange {
+        let mut suspects = BTreeSet::new();
+        for (entry, findings) in findings {
+            suspects.extend(findings.crashes.iter().flat_map(|crash| &crash.suspects));
+            for report in &findings.survivals {
+                record_newest(&mut self.reported, *report);
+            }
+            self.peers.insert(entry, findings);
+        }
+        forget_older_half(&mut self.reported);
+        self.suspected.extend(&suspects);
+        let mut is_news = false;
+        for part in suspects {
+            is_news |= self.publish_survival(part);
+        }
+        let mut change = self.assess(now);
+        change.must_publish = is_news;
+        change
+    }
+
+    /// Adopts what an earlier process of this entry published, and determines whether the findings
+    /// have to be published again because the published ones lack some.
+    pub fn adopt(&mut self, now: WallTime, published: EntryFindings) -> QuarantineChange {
+        for crash in &published.crashes {
+            self.add_crash(crash.clone());
+        }
+        for report in &published.survivals {
+            let known = self.own.survivals.iter();
+            if known.clone().all(|known| known.part != report.part) {
+                self.own.survivals.push(*report);
+            }
+            record_newest(&mut self.reported, *report);
+        }
+        truncate_oldest(&mut self.own.survivals);
+        let mut change = self.assess(now);
+        change.must_publish = self.own != published;
+        change
+    }
+
+    /// Ends quarantines whose evidence is too old.
+    pub fn expire(&mut self, now: WallTime) -> QuarantineChange {
+        self.own
+            .crashes
+            .retain(|crash| now.since(crash.seen_at) < CRASH_TIME);
+        self.suspected.clear();
+        let findings = std::iter::once(&self.own).chain(self.peers.values());
+        let crashes = findings.flat_map(|findings| &findings.crashes);
+        let crashes = crashes.filter(|crash| now.since(crash.seen_at) < CRASH_TIME);
+        self.suspected
+            .extend(crashes.flat_map(|crash| &crash.suspects));
+        if self.active.is_empty() {
+            return QuarantineChange::default();
+        }
+        self.assess(now)
+    }
+
+    /// Adds a crash to the findings of this entry. Returns whether they changed.
+    fn add_crash(&mut self, mut crash: CrashReport) -> bool {
+        let seen_at = crash.seen_at;
+        crash
+            .suspects
+            .retain(|part| !self.is_exonerated(*part, seen_at));
+        while crash.suspects.len() > MAX_REPORTS {
+            crash.suspects.pop_last();
+        }
+        if crash.suspects.is_empty() {
+            return false;
+        }
+        self.suspected.extend(&crash.suspects);
+        let same = |known: &&mut CrashReport| {
+            (&known.engine, known.started_ms) == (&crash.engine, crash.started_ms)
+        };
+        if let Some(known) = self.own.crashes.iter_mut().find(same) {
+            let before = known.suspects.len();
+            known.suspects.extend(crash.suspects);
+            return known.suspects.len() > before;
+        }
+        self.own.crashes.push(crash);
+        truncate_oldest(&mut self.own.crashes);
+        true
+    }
+
+    /// Adds this entry's newest survival of a part to its findings, if some entry suspects the part and
+    /// no entry has reported a recent survival. Returns whether the findings changed.
+    fn publish_survival(&mut self, part: PartId) -> bool {
+        let Some(seen_at) = self.survived.get(&part).copied() else {
+            return false;
+        };
+        let reported = self.reported.get(&part);
+        let is_known = reported.is_some_and(|last| seen_at.since(*last) < SURVIVAL_TIME / 2);
+        if is_known || !self.suspected.contains(&part) {
+            return false;
+        }
+        let report = SurvivalReport { part, seen_at };
+        record_newest(&mut self.reported, report);
+        self.own.survivals.retain(|report| report.part != part);
+        self.own.survivals.push(report);
+        truncate_oldest(&mut self.own.survivals);
+        true
+    }
+
+    fn all_findings(&self) -> impl Iterator<Item = &EntryFindings> {
+        std::iter::once(&self.own).chain(self.peers.values())
+    }
+
+    /// Returns whether a survival of a part shows that it did not cause a crash at `crashed_at`.
+    fn is_exonerated(&self, part: PartId, crashed_at: WallTime) -> bool {
+        let newest = self.survived.get(&part).max(self.reported.get(&part));
+        newest.is_some_and(|survived_at| *survived_at + SURVIVAL_TIME > crashed_at)
+    }
+
+    /// Determines the quarantine anew from the findings of all entries.
+    fn assess(&mut self, now: WallTime) -> QuarantineChange {
+        if self.active.is_empty() && self.suspected.is_empty() {
+            return QuarantineChange::default();
+        }
+        let mut evidence = self.evidence(now);
+        let mut active = BTreeMap::new();
+        while let Some((parts, verdict)) = find_culprit(&evidence) {
+            evidence.retain(|crash| !parts.is_subset(&crash.suspects));
+            active.insert(parts, verdict);
+        }
+        let before = std::mem::replace(&mut self.active, active);
+        let begun = self.active.iter();
+        let begun = begun.filter(|(parts, _)| !before.contains_key(*parts));
+        let ended = before.keys();
+        let ended = ended.filter(|parts| !self.active.contains_key(*parts));
+        QuarantineChange {
+            begun: begun
+                .map(|(parts, verdict)| (parts.clone(), verdict.crashes))
+                .collect(),
+            ended: ended.cloned().collect(),
+            must_publish: false,
+        }
+    }
+
+    /// Returns the crashes of the last time, each with the suspects that no survival exonerates.
+    fn evidence(&self, now: WallTime) -> Vec<CrashEvidence> {
+        let mut crashes: BTreeMap<(&EndpointId, Option<u64>), CrashEvidence> = BTreeMap::new();
+        for crash in self.all_findings().flat_map(|findings| &findings.crashes) {
+            if now.since(crash.seen_at) >= CRASH_TIME {
+                continue;
+            }
+            let key = (&crash.engine, crash.started_ms);
+            let evidence = crashes.entry(key).or_insert_with(|| CrashEvidence {
+                seen_at: crash.seen_at,
+                suspects: BTreeSet::new(),
+            });
+            evidence.seen_at = evidence.seen_at.min(crash.seen_at);
+            evidence.suspects.extend(&crash.suspects);
+        }
+        let mut crashes: Vec<CrashEvidence> = crashes.into_values().collect();
+        for crash in &mut crashes {
+            let seen_at = crash.seen_at;
+            crash
+                .suspects
+                .retain(|part| !self.is_exonerated(*part, seen_at));
+        }
+        crashes
+    }
+}
+
+/// Forgets the older half of survivals if there are too many.
+fn forget_older_half(survivals: &mut HashMap<PartId, WallTime>) {
+    if survivals.len() <= MAX_SURVIVALS {
+        return;
+    }
+    let mut times: Vec<WallTime> = survivals.values().copied().collect();
+    times.sort_unstable();
+    let median = times[times.len() / 2];
+    survivals.retain(|_, seen_at| *seen_at > median);
+}
+
+fn record_newest(survivals: &mut HashMap<PartId, WallTime>, report: SurvivalReport) {
+    let newest = survivals.entry(report.part).or_default();
+    *newest = report.seen_at.max(*newest);
+}
+
+/// Returns the parts that together explain the most crashes, if they explain enough of them.
+fn find_culprit(evidence: &[CrashEvidence]) -> Option<(QuarantinedParts, Verdict)> {
+    let mut explained: BTreeMap<PartId, Vec<usize>> = BTreeMap::new();
+    for (index, crash) in evidence.iter().enumerate() {
+        for part in &crash.suspects {
+            explained.entry(*part).or_default().push(index);
+        }
+    }
+    let times = |crashes: &[usize]| {
+        let times = crashes.iter().map(|index| evidence[*index].seen_at);
+        let mut times: Vec<WallTime> = times.collect();
+        times.sort_unstable();
+        times
+    };
+    let is_enough =
+        |crashes: &[usize]| crashes.len() >= MIN_CRASHES && moments(&times(crashes)) >= MIN_MOMENTS;
+    let most = explained
+        .values()
+        .filter(|crashes| is_enough(crashes))
+        .max_by_key(|crashes| crashes.len())?;
+    let parts = explained.iter().filter(|(_, crashes)| *crashes == most);
+    let parts: QuarantinedParts = parts.map(|(part, _)| *part).collect();
+    let verdict = Verdict {
+        crashes: most.len(),
+        until: times(most)[most.len() - MIN_CRASHES] + CRASH_TIME,
+    };
+    Some((parts, verdict))
+}
+
+/// Returns the number of moments at which events happened, whose times are in order.
+fn moments(times: &[WallTime]) -> usize {
+    let mut count = 0;
+    let mut last: Option<WallTime> = None;
+    for time in times {
+        if last.is_none_or(|last| time.since(last) >= MOMENT_GAP) {
+            count += 1;
+            last = Some(*time);
+        }
+    }
+    count
+}
+
+/// Removes the oldest reports beyond the limit.
+fn truncate_oldest<Report>(reports: &mut Vec<Report>) {
+    let excess = reports.len().saturating_sub(MAX_REPORTS);
+    reports.drain(..excess);
+}
--- a/crates/amaranth-dispatch/src/refusal.rs
+++ b/crates/amaranth-dispatch/src/refusal.rs
@@ -26,6 +26,8 @@
     AdapterWait,
     /// Every endpoint of the service asked for a pause.
     EndpointsPaused,
+    /// The prompt has a part that crashes engines.
+    Quarantined,
     /// The endpoints would not answer before the caller's deadline.
     Overloaded,
     /// Every endpoint that was tried refused without running the call.
@@ -49,6 +51,7 @@
             | Self::NoEndpoint
             | Self::AdapterWait
             | Self::EndpointsPaused
+            | Self::Quarantined
             | Self::Overloaded
             | Self::EndpointsRefused => 503,
             Self::OutcomeUnknown => 502,
--- a/crates/amaranth-dispatch/tests/text_forms.rs
+++ b/crates/amaranth-dispatch/tests/text_forms.rs
@@ -42,6 +42,7 @@
         RefusalCause::NoEndpoint,
         RefusalCause::AdapterWait,
         RefusalCause::EndpointsPaused,
+        RefusalCause::Quarantined,
         RefusalCause::Overloaded,
         RefusalCause::EndpointsRefused,
         RefusalCause::OutcomeUnknown,
--- a/crates/amaranth-relay/src/endpoint_body.rs
+++ b/crates/amaranth-relay/src/endpoint_body.rs
@@ -4,6 +4,8 @@
 use std::task::{Context, Poll, ready};
 
 use bytes::Bytes;
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::limited_stream::ReadAllowance;
@@ -12,6 +14,12 @@
 /// chunks. The library parses framing without yielding to other tasks.
 const MAX_BYTES_BETWEEN_FRAMES: usize = 1 << 20;
 
+/// Returns whether the end of a body is marked by its length or by chunks. Otherwise the body ends
+/// with the connection, and its end does not prove that it is complete.
+pub fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// The body of an answer. Each frame renews the number of bytes that its connection may read.
 #[derive(Debug)]
 pub struct EndpointBody {
--- a/crates/amaranth-relay/src/endpoint_selection.rs
+++ b/crates/amaranth-relay/src/endpoint_selection.rs
@@ -60,6 +60,9 @@
     call: &RoutedCall,
     history: &AttemptHistory,
 ) -> Result<SelectedEndpoint, Refusal> {
+    if let Some(refusal) = quarantine_refusal(core, call) {
+        return Err(refusal);
+    }
     match (&call.need, &call.engine) {
         (Some(need), Some(engine)) => select_engine(core, call, history, need, engine).await,
         _ => select_service(core, call, history),
@@ -198,6 +201,12 @@
         .is_some_and(|endpoint| endpoint.may_get_calls(now))
 }
 
+/// Returns the refusal of a call whose prompt has a part that crashes engines.
+fn quarantine_refusal(core: &EntryCore, call: &RoutedCall) -> Option<Refusal> {
+    let left = call.quarantine_left(core)?;
+    Some(Refusal::with_retry_after(RefusalCause::Quarantined, left))
+}
+
 /// Returns the refusal of calls to a service whose endpoints all asked for a pause.
 fn paused_refusal(core: &EntryCore, service: &ServiceName) -> Option<Refusal> {
     let now = core.now();
@@ -270,6 +279,9 @@
         if !core.state().slot_queue.may_try(queued.position) {
             continue;
         }
+        if let Some(refusal) = quarantine_refusal(core, call) {
+            return Err(refusal);
+        }
         if let Some(selected) = select_now(core, call, need, engine, excluded) {
             return Ok(selected);
         }
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::call_codec::{AnswerMetadata, ForwardContext};
-use crate::endpoint_body::EndpointBody;
+use crate::endpoint_body::{EndpointBody, is_delimited};
 use crate::endpoint_pool::{EndpointConnection, SendError};
 use crate::endpoint_selection::{SelectedEndpoint, may_get_calls};
 use crate::entry::EntryCore;
@@ -79,13 +79,16 @@
             return Err(FailedSend::without_answer(SendFailure::NotSent));
         }
     };
-    let late = call.time_left(core) < MIN_TIME_LEFT;
-    if late || !may_get_calls(core, guard.endpoint()) {
-        let cause = if late {
-            "time-over"
-        } else {
-            "endpoint-left-alone"
-        };
+    let cause = if call.time_left(core) < MIN_TIME_LEFT {
+        Some("time-over")
+    } else if call.quarantine_left(core).is_some() {
+        Some("quarantined")
+    } else if !may_get_calls(core, guard.endpoint()) {
+        Some("endpoint-left-alone")
+    } else {
+        None
+    };
+    if let Some(cause) = cause {
         log::info!(
             "event=not_sent id={} endpoint={} cause={cause}",
             call.head.id,
@@ -111,6 +114,7 @@
             };
             if failure == SendFailure::Ambiguous {
                 guard.set_outcome(EndpointOutcome::Failed);
+                guard.record_lost_connection();
             }
             log::info!(
                 "event=connection_ended id={} endpoint={} parts={} error={error}",
@@ -329,9 +333,15 @@
     } = open;
     let Some(full_answer) = read_full_answer(call, response).await else {
         guard.set_outcome(EndpointOutcome::Failed);
+        if Instant::now() < call.deadline {
+            guard.record_lost_connection();
+        }
         return Err(FailedSend::without_answer(SendFailure::Ambiguous));
     };
     guard.set_outcome(EndpointOutcome::Succeeded);
+    if is_delimited(full_answer.headers()) {
+        guard.record_survival();
+    }
     core.pool.release(connection);
     Ok(full_answer)
 }
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -15,6 +15,7 @@
 use amaranth_dispatch::exchange_policy::SHORTAGE_TIME;
 use amaranth_dispatch::fleet_size::FleetSize;
 use amaranth_dispatch::load_limiter::{LoadLimiter, LoadTicket};
+use amaranth_dispatch::prompt_quarantine::PromptQuarantine;
 use amaranth_dispatch::retry_quota::{RetryLimits, RetryQuota};
 use amaranth_dispatch::routes::{
     ConfigOutcome, CurrentConfig, EngineRule, RouteTable, RoutingConfig,
@@ -28,6 +29,7 @@
 
 use crate::agent_link::{AgentError, AgentLinks};
 use crate::call_codec::CallCodec;
+use crate::crash_watch::CrashWatch;
 use crate::endpoint_pool::EndpointPool;
 use crate::entry_stage::{EntryStage, StageCell};
 use crate::feed::FeedEvent;
@@ -99,6 +101,8 @@
     pub load_limiter: LoadLimiter,
     /// The calls that wait for a slot at an engine.
     pub slot_queue: SlotQueue,
+    /// The prompt parts that crash engines.
+    pub quarantine: PromptQuarantine,
     /// The policy for accepting calls after a stop request.
     pub stop_policy: Option<StopPolicy>,
     /// How recent the known configuration is.
@@ -143,6 +147,10 @@
     pub agents: AgentLinks,
     /// The loads in progress, which calls share.
     pub loads: SharedLoads,
+    /// The calls that may have crashed their engines.
+    pub crashes: CrashWatch,
+    /// Wakes the publication of the findings of `quarantine`.
+    pub findings_changed: Notify,
     /// The stage of the process, which readiness checks report.
     pub stage: StageCell,
     clock: SuspendClock,
@@ -172,6 +180,8 @@
             pool: EndpointPool::default(),
             agents: AgentLinks::default(),
             loads: SharedLoads::default(),
+            crashes: CrashWatch::default(),
+            findings_changed: Notify::new(),
             stage: StageCell::default(),
             clock: SuspendClock::start(),
             state: Mutex::new(EntryState {
@@ -183,6 +193,7 @@
                 region_short_until: Timestamp::ZERO,
                 load_limiter: LoadLimiter::default(),
                 slot_queue: SlotQueue::default(),
+                quarantine: PromptQuarantine::default(),
                 stop_policy: None,
                 config_freshness: TableFreshness::default(),
                 registry_freshness: TableFreshness::default(),
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -12,6 +12,7 @@
 use http::{HeaderMap, Method, Uri};
 use tokio::time::Instant;
 
+use crate::crash_watch;
 use crate::entry::EntryCore;
 
 /// Time before the caller disconnects at which a call at a silent engine is abandoned: the network
@@ -80,6 +81,11 @@
         names.join(",")
     }
 
+    /// Returns the remaining time of the quarantine of the call's prompt, if it is quarantined.
+    pub fn quarantine_left(&self, core: &EntryCore) -> Option<Duration> {
+        crash_watch::quarantine_left(core, self.need.as_deref()?)
+    }
+
     /// Returns the position before anything was forwarded.
     pub const fn start_position(&self) -> AnswerPosition {
         AnswerPosition {
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -10,12 +10,16 @@
 use amaranth_dispatch::engine_estimate::PromptTicket;
 use amaranth_dispatch::engine_selector::need_key;
 
+use crate::crash_watch;
 use crate::entry::EntryCore;
 
 /// Time without an event after which an engine that is no longer listed counts as silent. An engine
 /// that was removed from the registry finishes its calls and sends events more often than that.
 const UNLISTED_SILENCE: Duration = Duration::from_millis(1_500);
 
+/// Time after the first event of an answer for which a crash of the engine may be due to its prompt.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
+
 /// The predicted and the actual time from sending the prompt to the first token event.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct FirstTokenPrediction {
@@ -33,7 +37,8 @@
     need: Option<Arc<GenerationNeed>>,
     ticket: Option<PromptTicket>,
     is_streaming: bool,
-    has_event: bool,
+    first_event_at: Option<Timestamp>,
+    has_survived: bool,
     prediction: Option<FirstTokenPrediction>,
     last_event_at: Timestamp,
     outcome: EndpointOutcome,
@@ -59,7 +64,8 @@
             need,
             ticket: None,
             is_streaming: false,
-            has_event: false,
+            first_event_at: None,
+            has_survived: false,
             prediction: None,
             last_event_at,
             outcome: EndpointOutcome::Inconclusive,
@@ -113,7 +119,7 @@
 
     /// Returns whether an event has arrived, also from an engine that is no longer listed.
     pub const fn has_event(&self) -> bool {
-        self.has_event
+        self.first_event_at.is_some()
     }
 
     /// Returns the predicted and actual time to the first token event, once the event has arrived.
@@ -125,12 +131,34 @@
     pub fn record_event(&mut self) {
         let now = self.core.now();
         self.last_event_at = now;
-        self.has_event = true;
+        let first_event_at = *self.first_event_at.get_or_insert(now);
+        if now.since(first_event_at) >= SURVIVAL_TIME {
+            self.record_survival();
+        }
         if let Some(endpoint) = self.core.state().endpoints.get_mut(&self.endpoint) {
             endpoint.estimate.record_event(now);
         }
     }
 
+    /// Records that the engine can't crash under this call any more: its answer is complete, or has
+    /// gone on for long enough.
+    pub fn record_survival(&mut self) {
+        if !std::mem::replace(&mut self.has_survived, true)
+            && let Some(need) = &self.need
+        {
+            crash_watch::record_survival(&self.core, need);
+        }
+    }
+
+    /// Records that the engine closed the connection before the answer was complete.
+    pub fn record_lost_connection(&self) {
+        if !self.has_survived
+            && let Some(need) = &self.need
+        {
+            crash_watch::record_lost_connection(&self.core, &self.endpoint, need);
+        }
+    }
+
     /// Returns whether the engine has sent no event to any call for much longer than expected. For
     /// an engine that is no longer listed, only events of this call are considered.
     pub fn is_silent(&self) -> bool {
--- a/crates/amaranth-relay/src/silence_watch.rs
+++ b/crates/amaranth-relay/src/silence_watch.rs
@@ -49,6 +49,9 @@
         if near_deadline && call.need.is_some() && !guard.has_event() {
             return abandon(call, guard, "no-event");
         }
+        if !guard.has_event() && call.quarantine_left(core).is_some() {
+            return abandon(call, guard, "quarantined");
+        }
         if !guard.is_silent() {
             return SilenceStep::Wait;
         }
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer_body::{self, AnswerBody, AnswerBroken};
-use crate::endpoint_body::EndpointBody;
+use crate::endpoint_body::{EndpointBody, is_delimited};
 use crate::endpoint_pool::EndpointConnection;
 use crate::endpoint_selection::select;
 use crate::endpoint_send::{FailedSend, OpenAnswer, send};
@@ -124,10 +124,14 @@
                     }
                 },
                 Ok(None) if self.splitter.is_within_event() => {
+                    self.guard.record_lost_connection();
                     return StreamStep::broken("the stream ended within an event");
                 }
                 Ok(None) => return StreamStep::Ended,
-                Ok(Some(Err(error))) => return StreamStep::broken(&error.to_string()),
+                Ok(Some(Err(error))) => {
+                    self.guard.record_lost_connection();
+                    return StreamStep::broken(&error.to_string());
+                }
                 Ok(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else {
@@ -265,6 +269,9 @@
         self.outcome = "answered";
         if let Some(mut source) = self.source.take() {
             source.guard.set_outcome(EndpointOutcome::Succeeded);
+            if is_delimited(&source.head.headers) {
+                source.guard.record_survival();
+            }
             self.core.pool.release(source.connection);
         }
     }
--- a/crates/amaranth-relay/tests/relay/quarantine.rs
+++ b/crates/amaranth-relay/tests/relay/quarantine.rs
@@ -1,10 +1,17 @@
 //! Calls whose prompts contain a part that crashes engines.
 
-use std::sync::Arc;
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use amaranth_core::ids::Era;
+use amaranth_core::store::StorePosition;
+use amaranth_dispatch::prompt_quarantine::EntryFindings;
 use amaranth_dispatch::routes::RouteKind;
-use tokio::time::{interval, sleep, timeout};
+use amaranth_relay::engine_port::PortError;
+use amaranth_relay::feed::{FeedBatch, FeedError, FeedSource};
+use amaranth_relay::findings_task::{self, FindingsStore, FindingsTasks, PublishedFindings};
+use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::crashing_engines::{CRASHING_PART, CrashingEngines};
 use crate::support::{TEST_TIMEOUT, TestEntry, post, route, status};
@@ -43,3 +50,128 @@
     let sound = timeout(TEST_TIMEOUT, entry.call(&call_with("c1", "50"))).await;
     assert_eq!(status(&sound.expect("the call ends in time")), "200");
 }
+
+/// A topic in memory in which entries publish their findings.
+#[derive(Debug, Clone, Default)]
+struct SharedTopic {
+    records: Arc<Mutex<Vec<PublishedFindings>>>,
+}
+
+impl SharedTopic {
+    fn end(&self) -> StorePosition {
+        let records = self.records.lock().expect("no task panicked");
+        StorePosition::new(Era::default(), records.len() as u64)
+    }
+}
+
+impl FindingsStore for SharedTopic {
+    async fn publish(&self, entry: &str, findings: &EntryFindings) -> Result<(), PortError> {
+        let mut records = self.records.lock().expect("no task panicked");
+        records.push(PublishedFindings {
+            entry: entry.to_owned(),
+            findings: findings.clone(),
+        });
+        Ok(())
+    }
+}
+
+impl FeedSource for SharedTopic {
+    type Item = PublishedFindings;
+
+    async fn read_all(&mut self) -> Result<FeedBatch<PublishedFindings>, FeedError> {
+        let position = self.end();
+        let records = self.records.lock().expect("no task panicked");
+        let newest: BTreeMap<&str, &PublishedFindings> = records
+            .iter()
+            .map(|record| (record.entry.as_str(), record))
+            .collect();
+        Ok(FeedBatch {
+            items: newest.into_values().cloned().collect(),
+            position,
+        })
+    }
+
+    async fn read_since(
+        &mut self,
+        position: StorePosition,
+        wait: Duration,
+    ) -> Result<FeedBatch<PublishedFindings>, FeedError> {
+        let until = Instant::now() + wait;
+        while self.end() == position && Instant::now() < until {
+            sleep(Duration::from_millis(5)).await;
+        }
+        let end = self.end();
+        let records = self.records.lock().expect("no task panicked");
+        Ok(FeedBatch {
+            items: records[position.offset as usize..].to_vec(),
+            position: end,
+        })
+    }
+}
+
+/// Starts an entry that exchanges findings through a topic.
+fn exchanging_entry(name: &str, topic: &SharedTopic) -> (Arc<TestEntry>, FindingsTasks) {
+    let entry = TestEntry::bind_as(name);
+    entry.configure(1, vec![route(RouteKind::Stream, true, 2)]);
+    let tasks = findings_task::spawn(&entry.core, topic.clone(), topic.clone());
+    (Arc::new(entry), tasks)
+}
+
+#[tokio::test]
+async fn entries_that_each_see_few_crashes_quarantine_a_part_together() {
+    let topic = SharedTopic::default();
+    let (entries, _tasks): (Vec<_>, Vec<_>) = (0..8)
+        .map(|number| exchanging_entry(&format!("entry-{number}"), &topic))
+        .unzip();
+    let cores: Vec<_> = entries
+        .iter()
+        .map(|entry| Arc::clone(&entry.core))
+        .collect();
+    let engines = CrashingEngines::spawn(10, &cores);
+    let mut ticks = interval(Duration::from_millis(150));
+    for number in 0..45 {
+        ticks.tick().await;
+        let entry = Arc::clone(&entries[number % entries.len()]);
+        let call = call_with(&format!("a{number}"), CRASHING_PART);
+        tokio::spawn(async move { entry.call(&call).await });
+        let (entry, id) = (Arc::clone(&entries[number % 3]), format!("b{number}"));
+        tokio::spawn(async move { entry.call(&call_with(&id, "51")).await });
+    }
+    assert!(engines.crashes() > 0, "the calls crash engines");
+    assert!(
+        engines.late_arrivals(Duration::from_millis(1_500)) <= 3,
+        "{} calls with the part reached engines later, {} engines crashed",
+        engines.late_arrivals(Duration::from_millis(1_500)),
+        engines.crashes()
+    );
+    for (number, entry) in entries.iter().enumerate() {
+        let refused = entry
+            .call(&call_with(&format!("c{number}"), CRASHING_PART))
+            .await;
+        assert_eq!(status(&refused), "503", "entry {number}");
+        let sound = entry.call(&call_with(&format!("d{number}"), "50")).await;
+        assert_eq!(status(&sound), "200", "entry {number}");
+    }
+}
+
+#[tokio::test]
+async fn an_entry_that_joins_later_knows_what_is_quarantined() {
+    let topic = SharedTopic::default();
+    let (entry, _tasks) = exchanging_entry("entry-0", &topic);
+    let engines = CrashingEngines::spawn(6, &[Arc::clone(&entry.core)]);
+    for number in 0..30 {
+        entry
+            .call(&call_with(&format!("a{number}"), CRASHING_PART))
+            .await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    let crashes = engines.crashes();
+    drop(engines);
+    let (joined, _tasks) = exchanging_entry("entry-1", &topic);
+    let engines = CrashingEngines::spawn(2, &[Arc::clone(&joined.core)]);
+    sleep(Duration::from_millis(300)).await;
+    let answer = joined.call(&call_with("c1", CRASHING_PART)).await;
+    assert!(crashes > 0, "the calls crash engines");
+    assert_eq!(status(&answer), "503");
+    assert_eq!(engines.crashes(), 0);
+}
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -381,8 +381,17 @@
 
     /// Starts an entry without configuration and endpoints, with a port for agents.
     pub fn bind_with_agent_port(agent_port: u16) -> Self {
+        Self::bind_with("entry", agent_port)
+    }
+
+    /// Starts an entry of this name without configuration and endpoints.
+    pub fn bind_as(name: &str) -> Self {
+        Self::bind_with(name, 1)
+    }
+
+    fn bind_with(name: &str, agent_port: u16) -> Self {
         let options = EntryOptions {
-            name: "entry".to_owned(),
+            name: name.to_owned(),
             locality: Locality::default(),
             callers: "127.0.0.1:0".parse().expect("the address is valid"),
             readiness: "127.0.0.1:0".parse().expect("the address is valid"),
