Treat a stream without framing that ends before its first event as broken

Callers could see a complete, empty 200 where an engine had crashed: an answer with neither a length nor chunks ends with its connection, so the end of the connection passed for the end of the stream. Within an event the stream was already broken off. Test: a_stream_that_ends_with_its_connection_before_an_event_does_not_look_complete got 200 before the change and gets 502 now; a stream that ends whole still passes.

--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -127,6 +127,10 @@
                     self.guard.record_lost_connection();
                     return StreamStep::broken("the stream ended within an event");
                 }
+                Ok(None) if !self.guard.has_event() && !is_delimited(&self.head.headers) => {
+                    self.guard.record_lost_connection();
+                    return StreamStep::broken("the stream ended before its first event");
+                }
                 Ok(None) => return StreamStep::Ended,
                 Ok(Some(Err(error))) => {
                     self.guard.record_lost_connection();
--- a/crates/amaranth-relay/tests/relay/streams.rs
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -109,6 +109,38 @@
     assert_eq!(event_ids(&answer), [1, 2, 3], "{answer}");
 }
 
+/// The head of a stream that ends with its connection.
+const UNDELIMITED_HEAD: &str =
+    "HTTP/1.1 200 OK\r\nCall: c1\r\nProof: p\r\nContent-Type: text/event-stream\r\n\r\n";
+
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_is_forwarded_whole() {
+    let stream = format!("{UNDELIMITED_HEAD}id: 1\ndata: t1\n\nid: 2\ndata: t2\n\n");
+    let engine = FakeEndpoint::bind(vec![Reply::WriteAndClose(stream)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 1), &[&engine]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(event_ids(&answer), [1, 2]);
+    assert!(answer.ends_with(LAST_CHUNK), "{answer}");
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_within_an_event_does_not_look_complete() {
+    let stream = format!("{UNDELIMITED_HEAD}id: 1\ndata: t1\n\nid: 2\ndat");
+    let engine = FakeEndpoint::bind(vec![Reply::WriteAndClose(stream)]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 1), &[&engine]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(event_ids(&answer), [1]);
+    assert!(!answer.ends_with(LAST_CHUNK), "{answer}");
+}
+
+#[tokio::test]
+async fn a_stream_that_ends_with_its_connection_before_an_event_does_not_look_complete() {
+    let engine = FakeEndpoint::bind(vec![Reply::WriteAndClose(UNDELIMITED_HEAD.to_owned())]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, false, 1), &[&engine]);
+    let answer = entry.call(&post("c1", "")).await;
+    assert_eq!(status(&answer), "502", "{answer}");
+}
+
 #[tokio::test]
 async fn a_broken_non_resumable_stream_does_not_look_complete() {
     let broken = stream_head("c1") + &event(1) + &event(2);
