Send calls to an endpoint that states a limit by permit only

Cause: the limit in the head of an answer was not decoded, and no decision knew of a limit that belongs to all entries together. Not taken: a share for each entry; with more entries than calls in a window it either breaks the bound or uses little of the limit, and it has to know their number. Change: one agent grants permits from one bucket at the stated rate; entries that know of the limit ask before each call, leave the endpoint alone until the time that a refusal names, and refuse calls at once with that time where nothing else serves.

--- a/crates/amaranth-dispatch/src/endpoint_health.rs
+++ b/crates/amaranth-dispatch/src/endpoint_health.rs
@@ -1,13 +1,16 @@
 //! The decision whether an endpoint is left alone, for each of the reasons to do so.
 //!
 //! An endpoint that leaves gets no new call until it restarts. One that asked for a pause gets none
-//! until the pause is over. One that failed repeatedly is ejected: it gets calls only where no other
+//! until the pause is over. One that states a limit on calls gets them only by permit, and none until
+//! the next permit may be asked for. One that failed repeatedly is ejected: it gets calls only where no other
 //! endpoint can serve them.
 
 use std::time::Duration;
 
 use amaranth_core::time::Timestamp;
 
+use crate::call_limiter::CallRate;
+
 /// Number of consecutive failures after which an endpoint is ejected.
 const FAILURES_TO_EJECT: u32 = 2;
 
@@ -36,11 +39,20 @@
     Leaving,
 }
 
+/// The limit on calls that an endpoint stated.
+#[derive(Debug, Clone, Copy)]
+struct StatedLimit {
+    rate: CallRate,
+    stated_at: Timestamp,
+}
+
 /// The health of one incarnation of an endpoint.
 #[derive(Debug, Clone)]
 pub struct EndpointHealth {
     leaving: bool,
     paused_until: Timestamp,
+    limit: Option<StatedLimit>,
+    closed_until: Timestamp,
     ejected_until: Timestamp,
     ejection_time: Duration,
     consecutive_failures: u32,
@@ -52,6 +64,8 @@
         Self {
             leaving: false,
             paused_until: Timestamp::ZERO,
+            limit: None,
+            closed_until: Timestamp::ZERO,
             ejected_until: Timestamp::ZERO,
             ejection_time: MIN_EJECTION_TIME,
             consecutive_failures: 0,
@@ -95,6 +109,42 @@
         self.paused_until = self.paused_until.max(now + pause.min(MAX_PAUSE));
     }
 
+    /// Returns the limit on the rate of calls that the endpoint states for all entries together.
+    pub fn limit(&self) -> Option<CallRate> {
+        self.limit.map(|limit| limit.rate)
+    }
+
+    /// Records the limit in an answer that arrived at `now`, to a call that was sent at `sent_at`. An
+    /// answer without a limit ends one that was known when its call was sent.
+    pub fn record_limit(&mut self, now: Timestamp, sent_at: Timestamp, stated: Option<CallRate>) {
+        match (stated, self.limit) {
+            (Some(rate), None) => {
+                self.limit = Some(StatedLimit {
+                    rate,
+                    stated_at: now,
+                });
+            }
+            (Some(rate), Some(_)) => {
+                self.limit = self.limit.map(|limit| StatedLimit { rate, ..limit });
+            }
+            (None, Some(limit)) if limit.stated_at <= sent_at => {
+                self.limit = None;
+                self.closed_until = Timestamp::ZERO;
+            }
+            (None, _) => {}
+        }
+    }
+
+    /// Records that no permit for a call may be asked for before `wait` is over.
+    pub fn record_denied(&mut self, now: Timestamp, wait: Duration) {
+        self.closed_until = self.closed_until.max(now + wait);
+    }
+
+    /// Returns when the next permit may be asked for, if the endpoint is closed at `now`.
+    pub fn closed_until(&self, now: Timestamp) -> Option<Timestamp> {
+        (self.limit.is_some() && now < self.closed_until).then_some(self.closed_until)
+    }
+
     /// Records that a call failed at the endpoint.
     pub fn record_failure(&mut self, now: Timestamp) {
         self.consecutive_failures += 1;
--- a/crates/amaranth-dispatch/src/endpoint_table.rs
+++ b/crates/amaranth-dispatch/src/endpoint_table.rs
@@ -8,6 +8,7 @@
 use amaranth_core::time::Timestamp;
 use strum::Display;
 
+use crate::call_limiter::CallRate;
 use crate::endpoint_health::{EndpointHealth, EndpointStanding};
 use crate::engine_estimate::EngineEstimate;
 use crate::engine_view::{AdapterUsage, EngineContents, EngineView, HeldAdapter, UsageReport};
@@ -179,6 +180,17 @@
         )
     }
 
+    /// Returns whether a new call may select the endpoint at `now`: calls may be sent to it, and it is
+    /// not known that no permit is left.
+    pub fn may_be_selected(&self, now: Timestamp) -> bool {
+        self.may_get_calls(now) && self.health.closed_until(now).is_none()
+    }
+
+    /// Returns the limit on the rate of calls that the endpoint states for all entries together.
+    pub fn limit(&self) -> Option<CallRate> {
+        self.health.limit()
+    }
+
     /// Returns the end of the pause that the endpoint asked for, if it is paused at `now`.
     pub fn paused_until(&self, now: Timestamp) -> Option<Timestamp> {
         match self.health.standing(now) {
@@ -559,6 +571,41 @@
         }
     }
 
+    /// Records the limit in an endpoint's answer, or that there is none. Returns whether it changed.
+    pub fn record_limit(
+        &mut self,
+        now: Timestamp,
+        id: &EndpointId,
+        sent_at: Timestamp,
+        stated: Option<CallRate>,
+    ) -> bool {
+        let Some(state) = self.endpoints.get_mut(id) else {
+            return false;
+        };
+        let before = state.health.limit();
+        state.health.record_limit(now, sent_at, stated);
+        before != state.health.limit()
+    }
+
+    /// Records that an endpoint's agent denied a permit and names the time after which to ask again.
+    pub fn record_denied(&mut self, now: Timestamp, id: &EndpointId, wait: Duration) {
+        if let Some(state) = self.endpoints.get_mut(id) {
+            state.health.record_denied(now, wait);
+        }
+    }
+
+    /// Returns the time until calls to a service may be sent again, if permits have run out at all
+    /// endpoints to which calls may be sent.
+    pub fn permit_wait(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
+        let mut soonest: Option<Timestamp> = None;
+        let open = self.of_service(service);
+        for state in open.filter(|state| state.may_get_calls(now)) {
+            let until = state.health.closed_until(now)?;
+            soonest = Some(soonest.map_or(until, |known| known.min(until)));
+        }
+        soonest.map(|until| until.since(now))
+    }
+
     /// Returns the time until the first pause of a service's endpoints ends, if all endpoints that
     /// stay are paused.
     pub fn pause_left(&self, now: Timestamp, service: &ServiceName) -> Option<Duration> {
--- a/crates/amaranth-dispatch/src/engine_selector.rs
+++ b/crates/amaranth-dispatch/src/engine_selector.rs
@@ -147,7 +147,7 @@
     let key = need_key(query.need);
     let mut ranked: Vec<(u64, &EndpointState)> = table
         .of_service(query.service)
-        .filter(|state| state.may_get_calls(now) && !query.excluded.contains(&state.record.id))
+        .filter(|state| state.may_be_selected(now) && !query.excluded.contains(&state.record.id))
         .filter(|state| state.calls() < query.max_calls)
         .map(|state| (hash64(key, state.record.id.as_str().as_bytes()), state))
         .collect();
--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod adapter_manager;
 pub mod attempts;
 pub mod call;
+pub mod call_limiter;
 pub mod endpoint_health;
 pub mod endpoint_table;
 pub mod engine_estimate;
--- a/crates/amaranth-dispatch/src/service_selector.rs
+++ b/crates/amaranth-dispatch/src/service_selector.rs
@@ -48,7 +48,7 @@
 ) -> Option<EndpointId> {
     table
         .of_service(query.service)
-        .filter(|state| state.may_get_calls(now) && !query.excluded.contains(&state.record.id))
+        .filter(|state| state.may_be_selected(now) && !query.excluded.contains(&state.record.id))
         .filter(|state| state.calls() < query.max_calls)
         .filter(|state| utilization(state) < FULL_UTILIZATION)
         .map(|state| (cost(now, state, locality), state))
--- a/crates/amaranth-relay/src/agent.rs
+++ b/crates/amaranth-relay/src/agent.rs
@@ -6,10 +6,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use amaranth_core::ids::EndpointId;
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::adapter_manager::{
     AdapterManager, GuardedOrder, LoadRequestId, OrderAnswer,
 };
+use amaranth_dispatch::call_limiter::{CallLimiter, CallPermit, CallRate};
 use amaranth_dispatch::engine_view::{
     EngineContents, EngineView, LoadOutcome, LoadRequest, UsageReport,
 };
@@ -29,6 +31,7 @@
 pub struct AgentCore {
     clock: SuspendClock,
     manager: Mutex<AdapterManager>,
+    limiter: Mutex<CallLimiter>,
     waiters: Mutex<HashMap<LoadRequestId, oneshot::Sender<LoadOutcome>>>,
     changed: Notify,
     requested: Notify,
@@ -39,6 +42,7 @@
         Self {
             clock: SuspendClock::start(),
             manager: Mutex::default(),
+            limiter: Mutex::default(),
             waiters: Mutex::default(),
             changed: Notify::new(),
             requested: Notify::new(),
@@ -128,6 +132,12 @@
         }
     }
 
+    fn permit(&self, endpoint: &EndpointId, rate: CallRate) -> CallPermit {
+        let now = self.now();
+        let mut limiter = self.limiter.lock().unwrap_or_else(PoisonError::into_inner);
+        limiter.acquire(now, endpoint, rate)
+    }
+
     async fn exchange(&self, usage: UsageReport, seen: u64, wait: Duration) -> EngineView {
         let now = self.now();
         let changed = self.changed.notified();
@@ -219,6 +229,10 @@
         self.core.prepare(usage, request).await
     }
 
+    async fn permit(self, _context: Context, endpoint: EndpointId, rate: CallRate) -> CallPermit {
+        self.core.permit(&endpoint, rate)
+    }
+
     async fn read_tables(
         self,
         _context: Context,
--- a/crates/amaranth-relay/src/agent_link.rs
+++ b/crates/amaranth-relay/src/agent_link.rs
@@ -6,6 +6,8 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use amaranth_core::ids::EndpointId;
+use amaranth_dispatch::call_limiter::{CallPermit, CallRate};
 use amaranth_dispatch::endpoint_table::AgentFailure;
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest, UsageReport};
 use amaranth_wire::engine_agent::{self, EngineAgentRpcClient, TableCursors, TableUpdates};
@@ -71,6 +73,22 @@
         answer.map_err(|error| self.record_failure(address, &error))
     }
 
+    /// Asks an agent for the permit to send one call to an endpoint with a limit.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the agent can't be reached in time.
+    pub async fn permit(
+        &self,
+        address: SocketAddr,
+        endpoint: EndpointId,
+        rate: CallRate,
+    ) -> Result<CallPermit, AgentError> {
+        let client = self.client(address).await?;
+        let answer = client.permit(context(Duration::ZERO), endpoint, rate).await;
+        answer.map_err(|error| self.record_failure(address, &error))
+    }
+
     /// Asks an agent for what this entry lacks of the store's tables.
     ///
     /// # Errors
--- a/crates/amaranth-relay/src/call_codec.rs
+++ b/crates/amaranth-relay/src/call_codec.rs
@@ -4,6 +4,7 @@
 
 use amaranth_core::ids::EndpointId;
 use amaranth_dispatch::call::CallHead;
+use amaranth_dispatch::call_limiter::CallRate;
 use amaranth_dispatch::refusal::Refusal;
 use http::HeaderMap;
 use http::{request, response};
@@ -34,7 +35,7 @@
 }
 
 /// Information from the head of an endpoint's answer.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct AnswerMetadata {
     /// Whether the endpoint states that it did not run the call.
     pub not_run: bool,
@@ -47,6 +48,8 @@
     pub is_leaving: bool,
     /// The pause for which the endpoint asks, if it refused the call.
     pub pause: Option<Duration>,
+    /// The limit on the rate of calls that the endpoint states for all entries together.
+    pub limit: Option<CallRate>,
     /// The id of the answered call, if the head names it.
     pub call_id: Option<String>,
     /// The endpoint that answered, if the head names it.
--- a/crates/amaranth-relay/src/endpoint_selection.rs
+++ b/crates/amaranth-relay/src/endpoint_selection.rs
@@ -7,6 +7,7 @@
 use amaranth_core::ids::{EndpointId, ServiceName};
 use amaranth_dispatch::attempts::AttemptHistory;
 use amaranth_dispatch::call::GenerationNeed;
+use amaranth_dispatch::call_limiter::{self, CallPermit, CallRate};
 use amaranth_dispatch::engine_selector::{self, EngineChoice, EngineQuery, SelectionReason};
 use amaranth_dispatch::engine_view::LoadOutcome;
 use amaranth_dispatch::exchange_policy::SHORTAGE_FRACTION;
@@ -15,7 +16,7 @@
 use amaranth_dispatch::service_selector::{self, ServiceQuery};
 use amaranth_dispatch::slot_queue::{self, QueuePosition};
 use smallvec::SmallVec;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::entry::{EntryCore, LoadOptions};
 use crate::routed_call::RoutedCall;
@@ -32,6 +33,12 @@
 /// Engine selections for one call before it is refused.
 const MAX_SELECTIONS: u32 = 4;
 
+/// Timeout for a permit: a cross-region round trip, and a pause of the processes at both ends.
+const PERMIT_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time for which an endpoint with a limit is left alone while its agent can't be reached.
+const NO_AGENT_WAIT: Duration = Duration::from_secs(1);
+
 /// Retry delay for a refused caller where no better estimate is known.
 pub const DEFAULT_RETRY_AFTER: Duration = Duration::from_millis(400);
 
@@ -65,11 +72,24 @@
     }
     match (&call.need, &call.engine) {
         (Some(need), Some(engine)) => select_engine(core, call, history, need, engine).await,
-        _ => select_service(core, call, history),
+        _ => select_service(core, call, history).await,
     }
 }
 
-fn select_service(
+async fn select_service(
+    core: &Arc<EntryCore>,
+    call: &RoutedCall,
+    history: &AttemptHistory,
+) -> Result<SelectedEndpoint, Refusal> {
+    loop {
+        let selected = select_service_now(core, call, history)?;
+        if acquire_permit(core, call, selected.guard.endpoint()).await {
+            return Ok(selected);
+        }
+    }
+}
+
+fn select_service_now(
     core: &Arc<EntryCore>,
     call: &RoutedCall,
     history: &AttemptHistory,
@@ -91,7 +111,9 @@
     let Some(endpoint) = selected else {
         let known = service_selector::has_endpoint(&state.endpoints, &call.service);
         let refusal = if known {
-            Refusal::with_retry_after(RefusalCause::Overloaded, service_selector::FULL_RETRY_AFTER)
+            let permit_wait = state.endpoints.permit_wait(now, &call.service);
+            let delay = permit_wait.unwrap_or(service_selector::FULL_RETRY_AFTER);
+            Refusal::with_retry_after(RefusalCause::Overloaded, delay)
         } else {
             Refusal::with_retry_after(RefusalCause::NoEndpoint, UNCONFIGURED_RETRY_AFTER)
         };
@@ -122,7 +144,9 @@
 ) -> Result<SelectedEndpoint, Refusal> {
     let mut outcome = LoadOutcome::Unavailable;
     let mut excluded: SmallVec<[EndpointId; 4]> = history.tried().iter().cloned().collect();
-    for _ in 0..MAX_SELECTIONS {
+    let mut selections = 0;
+    while selections < MAX_SELECTIONS {
+        selections += 1;
         let selected = select_queued(core, call, need, engine, &excluded).await?;
         let SelectedEngine {
             choice,
@@ -175,6 +199,11 @@
             // The endpoint began to drain or asked for a pause while the call waited for the load.
             continue;
         }
+        if !acquire_permit(core, call, &choice.endpoint).await {
+            // The endpoint is not selected again before its next permit.
+            selections -= 1;
+            continue;
+        }
         return Ok(SelectedEndpoint {
             address,
             guard,
@@ -191,6 +220,57 @@
     ))
 }
 
+/// Acquires the permit to send one call to an endpoint, if the endpoint states a limit on calls.
+/// Returns `false` if there is none; the endpoint is not selected again before the next one.
+async fn acquire_permit(core: &EntryCore, call: &RoutedCall, endpoint: &EndpointId) -> bool {
+    let Some((rate, agent)) = permit_source(core, call, endpoint) else {
+        return true;
+    };
+    let asking = async {
+        let agent = agent.ok_or("no agent is known")?;
+        let answer = core.agents.permit(agent, endpoint.clone(), rate).await;
+        answer.map_err(|_| "its agent gave no answer")
+    };
+    let answer = timeout(PERMIT_TIMEOUT, asking).await;
+    let wait = match answer.unwrap_or(Err("its agent was silent")) {
+        Ok(CallPermit::Granted) => return true,
+        Ok(CallPermit::Denied(wait)) => wait,
+        Err(reason) => {
+            log::info!("event=permit_unavailable endpoint={endpoint} reason={reason:?}");
+            NO_AGENT_WAIT
+        }
+    };
+    let now = core.now();
+    core.state().endpoints.record_denied(now, endpoint, wait);
+    false
+}
+
+/// Returns the limit that an endpoint states, if it states one, and the agent that grants its permits:
+/// the one beside an engine, and one that all entries select alike for other endpoints.
+fn permit_source(
+    core: &EntryCore,
+    call: &RoutedCall,
+    endpoint: &EndpointId,
+) -> Option<(CallRate, Option<SocketAddr>)> {
+    let state = core.state();
+    let rate = state.endpoints.get(endpoint)?.limit()?;
+    let table = state.config.current();
+    let is_engine = |service: &ServiceName| {
+        let rule = table.and_then(|table| table.service(service));
+        rule.is_some_and(|rule| rule.engine.is_some())
+    };
+    let grantor = if call.engine.is_some() {
+        Some(endpoint)
+    } else {
+        let engines = state.endpoints.iter();
+        let engines = engines.filter(|known| is_engine(&known.record.service));
+        call_limiter::permit_grantor(endpoint, engines.map(|known| &known.record.id))
+    };
+    let grantor = grantor.and_then(|grantor| state.endpoints.get(grantor));
+    let agent = grantor.map(|grantor| core.agent_address(grantor.record.address));
+    Some((rate, agent))
+}
+
 /// Returns whether a call may be sent to an endpoint now.
 pub fn may_get_calls(core: &EntryCore, endpoint: &EndpointId) -> bool {
     let now = core.now();
@@ -217,6 +297,17 @@
     ))
 }
 
+/// Returns the refusal of calls to a service for which no permit is left for `longest_wait` or longer.
+fn permit_refusal(
+    core: &EntryCore,
+    service: &ServiceName,
+    longest_wait: Duration,
+) -> Option<Refusal> {
+    let now = core.now();
+    let wait = core.state().endpoints.permit_wait(now, service)?;
+    (wait >= longest_wait).then(|| Refusal::with_retry_after(RefusalCause::Overloaded, wait))
+}
+
 /// An engine that was selected for a call.
 #[derive(Debug)]
 struct SelectedEngine {
@@ -253,6 +344,10 @@
     if !must_wait && let Some(selected) = select_now(core, call, need, engine, excluded) {
         return Ok(selected);
     }
+    let longest_wait = slot_queue::max_wait(call.route.objective, false);
+    if let Some(refusal) = permit_refusal(core, &call.service, longest_wait) {
+        return Err(refusal);
+    }
     let position = core.state().slot_queue.insert(call.route.priority);
     let queued = QueuedCall { core, position };
     let queued_at = Instant::now();
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use amaranth_core::ids::EndpointId;
+use amaranth_core::time::Timestamp;
 use amaranth_dispatch::attempts::{AttemptHistory, SendFailure};
 use amaranth_dispatch::endpoint_table::{EndpointChange, EndpointOutcome};
 use bytes::Bytes;
@@ -104,6 +105,7 @@
         position.last_event,
     );
     guard.record_prompt_sent();
+    let sent_at = core.now();
     let sending = connection.send(request);
     let response = match wait_for_head(core, call, &guard, history, position, sending).await {
         HeadWait::Received(Ok(response)) => response,
@@ -133,7 +135,7 @@
             return Err(FailedSend::without_answer(SendFailure::Ambiguous));
         }
     };
-    classify(core, call, response, connection, guard).await
+    classify(core, call, response, connection, guard, sent_at).await
 }
 
 /// The result of waiting for the head of an answer.
@@ -198,6 +200,7 @@
     response: Response<EndpointBody>,
     mut connection: EndpointConnection,
     mut guard: SendGuard,
+    sent_at: Timestamp,
 ) -> Result<OpenAnswer, FailedSend> {
     let (parts, body) = response.into_parts();
     let metadata = core.codec.read_answer(&parts);
@@ -216,6 +219,7 @@
         guard.set_outcome(EndpointOutcome::Failed);
         return Err(FailedSend::without_answer(SendFailure::Ambiguous));
     }
+    record_limit(core, guard.endpoint(), &metadata, sent_at);
     let response = Response::from_parts(parts, body);
     if response.status().is_success() {
         if !metadata.authenticated {
@@ -284,6 +288,32 @@
     }
 }
 
+/// Records the limit that an endpoint states in the head of an answer, or that it states none any
+/// more, which only an authenticated answer shows.
+fn record_limit(
+    core: &EntryCore,
+    endpoint: &EndpointId,
+    metadata: &AnswerMetadata,
+    sent_at: Timestamp,
+) {
+    if metadata.misdirected || (metadata.limit.is_none() && !metadata.authenticated) {
+        return;
+    }
+    let now = core.now();
+    let mut state = core.state();
+    let has_changed = state
+        .endpoints
+        .record_limit(now, endpoint, sent_at, metadata.limit);
+    drop(state);
+    if has_changed {
+        let limit = metadata.limit.map(|limit| limit.to_string());
+        log::info!(
+            "event=endpoint_limit endpoint={endpoint} limit={}",
+            limit.as_deref().unwrap_or("none")
+        );
+    }
+}
+
 /// Corrects the table after an endpoint refused a call as misdirected: another endpoint has its
 /// address, or the endpoint lacks the adapter.
 fn record_misdirected(
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -111,6 +111,7 @@
                 .filter(|_| head.status == http::StatusCode::SERVICE_UNAVAILABLE)
                 .and_then(|value| value.parse().ok())
                 .map(Duration::from_millis),
+            limit: None,
             misdirected: head.status == http::StatusCode::MISDIRECTED_REQUEST,
             authenticated: head.headers.contains_key(PROOF),
             call_id: text(&head.headers, &CALL),
--- a/crates/amaranth-wire/src/engine_agent.rs
+++ b/crates/amaranth-wire/src/engine_agent.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amaranth_core::ids::EndpointId;
+use amaranth_dispatch::call_limiter::{CallPermit, CallRate};
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest, UsageReport};
 use amaranth_dispatch::store_table::{TableCursor, TableUpdate};
 use serde::{Deserialize, Serialize};
@@ -39,6 +41,9 @@
     /// request.
     async fn prepare(usage: UsageReport, request: LoadRequest) -> LoadOutcome;
 
+    /// Asks for the permit to send one call to an endpoint that stated a limit on calls.
+    async fn permit(endpoint: EndpointId, rate: CallRate) -> CallPermit;
+
     /// Returns what an entry lacks of the store's tables, as soon as there is something or `wait` is
     /// over.
     async fn read_tables(cursors: TableCursors, wait: Duration) -> TableUpdates;
