Quarantine a part after three crashes, and bound the permits that a call asks for

Cause, found by a simulated fleet of which a third can't reach the store: the fifth crash may come from entries whose findings nobody reads; the others then needed four crashes of their own, one more than the bound allows. Three crashes at three moments are enough evidence, since a part whose prompts survive is no suspect. Also: a call to which a permit was denied selected another endpoint without end until its deadline; after six denials it is refused with the time of the next permit.

--- a/crates/amaranth-dispatch/src/prompt_quarantine.rs
+++ b/crates/amaranth-dispatch/src/prompt_quarantine.rs
@@ -22,7 +22,7 @@
 use crate::call::PartId;
 
 /// Number of engines that a part must have crashed before it is quarantined.
-const MIN_CRASHES: usize = 4;
+const MIN_CRASHES: usize = 3;
 
 /// Number of moments at which these crashes must have happened. Engines that fail together do so at
 /// one moment.
--- a/crates/amaranth-dispatch/tests/prompt_quarantine.rs
+++ b/crates/amaranth-dispatch/tests/prompt_quarantine.rs
@@ -50,15 +50,15 @@
 }
 
 #[test]
-fn a_part_that_four_crashes_have_in_common_is_quarantined() {
+fn a_part_that_three_crashes_have_in_common_is_quarantined() {
     let mut quarantine = PromptQuarantine::default();
     record_crashes(
         &mut quarantine,
         0,
-        &[&[BAD, PartId(3)][..], &[BAD], &[BAD, PartId(4)]],
+        &[&[BAD, PartId(3)][..], &[BAD, PartId(4)]],
     );
     assert!(!is_quarantined(&quarantine, &[BAD]));
-    record_crashes(&mut quarantine, 900, &[&[BAD, PartId(5)]]);
+    record_crashes(&mut quarantine, 600, &[&[BAD, PartId(5)]]);
     assert!(is_quarantined(&quarantine, &[PartId(7), BAD]));
     assert!(!is_quarantined(&quarantine, &[PartId(3), PartId(4)]));
 }
@@ -145,7 +145,7 @@
 #[test]
 fn a_quarantine_ends_with_its_evidence() {
     let mut quarantine = PromptQuarantine::default();
-    record_crashes(&mut quarantine, 0, &[&[BAD]; 4]);
+    record_crashes(&mut quarantine, 0, &[&[BAD]; 3]);
     let hour = 3_600_000;
     assert!(quarantine.time_left(at(hour - 1), [BAD]).is_some());
     assert!(quarantine.time_left(at(hour), [BAD]).is_none());
@@ -198,6 +198,27 @@
             entries,
             engines,
             faults: true,
+            cut_off: 0,
+        };
+        assert_kept(&fleet::play(plan, Exchange::Shared, seed), seed);
+    }
+}
+
+#[rstest]
+#[case::one_of_three(3, 9, 1)]
+#[case::a_third_of_many(69, 120, 23)]
+#[case::a_third_of_some(30, 60, 11)]
+fn entries_that_reach_the_store_stop_such_calls_although_others_do_not(
+    #[case] entries: usize,
+    #[case] engines: usize,
+    #[case] cut_off: usize,
+) {
+    for seed in 0..12 {
+        let plan = FleetPlan {
+            entries,
+            engines,
+            faults: true,
+            cut_off,
         };
         assert_kept(&fleet::play(plan, Exchange::Shared, seed), seed);
     }
@@ -209,6 +230,7 @@
         entries: 68,
         engines: 120,
         faults: false,
+        cut_off: 0,
     };
     let result = fleet::play(plan, Exchange::None, 1);
     assert!(result.late_sends > 3, "{result:?}");
--- a/crates/amaranth-dispatch/tests/prompt_quarantine/fleet.rs
+++ b/crates/amaranth-dispatch/tests/prompt_quarantine/fleet.rs
@@ -51,6 +51,8 @@
     pub engines: usize,
     /// Whether entries freeze, are cut off from the store, restart and join late.
     pub faults: bool,
+    /// The number of entries that never reach the store.
+    pub cut_off: usize,
 }
 
 /// What a play showed.
@@ -133,13 +135,16 @@
 
 impl Fleet {
     fn new(plan: FleetPlan) -> Self {
-        let entries = (0..plan.entries).map(|_| FleetEntry {
-            quarantine: PromptQuarantine::default(),
-            must_publish: false,
-            read_version: 0,
-            frozen_until: 0,
-            cut_until: 0,
-            disturbed_at: 0,
+        let entries = (0..plan.entries).map(|entry| {
+            let cut_until = if entry < plan.cut_off { STEPS } else { 0 };
+            FleetEntry {
+                quarantine: PromptQuarantine::default(),
+                must_publish: false,
+                read_version: 0,
+                frozen_until: 0,
+                cut_until,
+                disturbed_at: cut_until,
+            }
         });
         Self {
             entries: entries.collect(),
@@ -158,7 +163,7 @@
         let entry = &mut self.entries[index];
         match rng.random_range(0..3) {
             0 => entry.frozen_until = until,
-            1 => entry.cut_until = until,
+            1 => entry.cut_until = until.max(entry.cut_until),
             _ => {
                 entry.quarantine = PromptQuarantine::default();
                 entry.must_publish = false;
@@ -169,7 +174,8 @@
                 }
             }
         }
-        entry.disturbed_at = entry.frozen_until.max(entry.cut_until).max(step);
+        let disturbed_until = entry.frozen_until.max(entry.cut_until).max(step);
+        entry.disturbed_at = entry.disturbed_at.max(disturbed_until);
     }
 
     fn is_undisturbed(&self, entry: usize, step: u64) -> bool {
--- a/crates/amaranth-relay/src/endpoint_selection.rs
+++ b/crates/amaranth-relay/src/endpoint_selection.rs
@@ -33,6 +33,9 @@
 /// Engine selections for one call before it is refused.
 const MAX_SELECTIONS: u32 = 4;
 
+/// Permits that are denied to one call before it is refused.
+const MAX_DENIALS: u32 = 6;
+
 /// Timeout for a permit: a cross-region round trip, and a pause of the processes at both ends.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(250);
 
@@ -81,12 +84,13 @@
     call: &RoutedCall,
     history: &AttemptHistory,
 ) -> Result<SelectedEndpoint, Refusal> {
-    loop {
+    for _ in 0..MAX_DENIALS {
         let selected = select_service_now(core, call, history)?;
         if acquire_permit(core, call, selected.guard.endpoint()).await {
             return Ok(selected);
         }
     }
+    Err(denied_refusal(core, call))
 }
 
 fn select_service_now(
@@ -144,9 +148,8 @@
 ) -> Result<SelectedEndpoint, Refusal> {
     let mut outcome = LoadOutcome::Unavailable;
     let mut excluded: SmallVec<[EndpointId; 4]> = history.tried().iter().cloned().collect();
-    let mut selections = 0;
+    let (mut selections, mut denials) = (0, 0);
     while selections < MAX_SELECTIONS {
-        selections += 1;
         let selected = select_queued(core, call, need, engine, &excluded).await?;
         let SelectedEngine {
             choice,
@@ -179,6 +182,7 @@
             };
             outcome = core.load(key, address, engine, options).await;
             if outcome != LoadOutcome::Held {
+                selections += 1;
                 // A load that timed out continues, and its engine is still the first to be ready.
                 if outcome != LoadOutcome::TimedOut {
                     excluded.push(choice.endpoint);
@@ -192,16 +196,21 @@
             && !core.is_vm_responsive(&choice.endpoint).await
         {
             // VMs tend to freeze or lose their network together, and a call has few attempts.
+            selections += 1;
             excluded.push(choice.endpoint);
             continue;
         }
         if !may_get_calls(core, &choice.endpoint) {
             // The endpoint began to drain or asked for a pause while the call waited for the load.
+            selections += 1;
             continue;
         }
         if !acquire_permit(core, call, &choice.endpoint).await {
             // The endpoint is not selected again before its next permit.
-            selections -= 1;
+            denials += 1;
+            if denials == MAX_DENIALS {
+                return Err(denied_refusal(core, call));
+            }
             continue;
         }
         return Ok(SelectedEndpoint {
@@ -297,6 +306,16 @@
     ))
 }
 
+/// Returns the refusal of a call to which several permits were denied.
+fn denied_refusal(core: &EntryCore, call: &RoutedCall) -> Refusal {
+    let now = core.now();
+    let wait = core.state().endpoints.permit_wait(now, &call.service);
+    Refusal::with_retry_after(
+        RefusalCause::Overloaded,
+        wait.unwrap_or(DEFAULT_RETRY_AFTER),
+    )
+}
+
 /// Returns the refusal of calls to a service for which no permit is left for `longest_wait` or longer.
 fn permit_refusal(
     core: &EntryCore,
