Keep delayed removals when a second complete list comes before they are due

After a restoration of the store an endpoint that the copy lacks stays for two seconds, in which it can announce itself again; a second complete list within that time, a reader's or the entry's own, removed it at once. Callers could lose an engine that runs. Cause: replace passed endpoints with a delayed removal to remove_batch as new ones. Test: a_second_complete_list_after_a_restoration_does_not_hasten_the_removal failed before (e11 removed) and passes now. Explicit removals still remove at once.

--- a/crates/amaranth-dispatch/src/endpoint_table.rs
+++ b/crates/amaranth-dispatch/src/endpoint_table.rs
@@ -358,13 +358,18 @@
 
     /// Replaces the table's endpoints by a complete list of the registry, and returns the changes.
     ///
-    /// Endpoints that are missing from the list are removed by [`EndpointTable::remove_batch`].
+    /// Endpoints that are missing from the list are removed by [`EndpointTable::remove_batch`], except
+    /// those whose removal is delayed already.
     pub fn replace(
         &mut self,
         now: Timestamp,
         records: Vec<EndpointRecord>,
     ) -> Vec<(EndpointId, EndpointChange)> {
-        let missing = self.missing_from(&records);
+        let mut missing = self.missing_from(&records);
+        missing.retain(|id| {
+            let state = self.endpoints.get(id);
+            state.is_some_and(|state| state.removal_at.is_none())
+        });
         let mut changes = self.remove_batch(now, &missing);
         changes.extend(self.announce_all(records));
         changes
--- a/crates/amaranth-dispatch/tests/endpoint_table.rs
+++ b/crates/amaranth-dispatch/tests/endpoint_table.rs
@@ -315,6 +315,23 @@
     );
 }
 
+#[test]
+fn a_second_complete_list_after_a_restoration_does_not_hasten_the_removal() {
+    let mut table = table_of(12);
+    let listed: Vec<EndpointRecord> = (0..11)
+        .map(|index| engine(&format!("e{index}"), "a1", &[]))
+        .collect();
+    table.restore(NOW, listed.clone());
+    let changes = table.replace(NOW + Duration::from_millis(500), listed);
+    assert_eq!(changes, vec![]);
+    let missing: EndpointId = name("e11");
+    assert!(table.get(&missing).is_some());
+    assert_eq!(
+        table.expire(NOW + Duration::from_millis(2_100)),
+        vec![missing]
+    );
+}
+
 #[test]
 fn an_endpoint_that_announces_itself_again_after_a_restoration_stays() {
     let mut table = table_of(2);
