Publish survivals only where a quarantine depends on them, and read findings less often

Every survival of a part that any crash named was published, again each 15 s, and each record woke all 68 readers. Change: a survival is published only if it exonerates a crash that counts and one crash less would be needed for a quarantine; reads are 0.8 of the configuration's bound apart instead of 0.5 s; findings are collected for 200 ms before they are published. The test of one survival fails without the first change.

--- a/crates/amaranth-dispatch/src/prompt_quarantine.rs
+++ b/crates/amaranth-dispatch/src/prompt_quarantine.rs
@@ -12,7 +12,7 @@
 //! entry replace its earlier ones. Lost, repeated and reordered updates do no harm, and the
 //! quarantine is a function of the findings.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use amaranth_core::ids::EndpointId;
@@ -96,6 +96,9 @@
     until: WallTime,
 }
 
+/// The times of crashes, by the incarnation of the engine.
+type CrashTimes = BTreeMap<(EndpointId, Option<u64>), WallTime>;
+
 /// The suspects and the first sighting of one crash, from the reports of all entries.
 #[derive(Debug)]
 struct CrashEvidence {
@@ -112,8 +115,8 @@
     survived: HashMap<PartId, WallTime>,
     /// The newest survivals that any entry reported.
     reported: HashMap<PartId, WallTime>,
-    /// The parts that some entry suspects or suspected.
-    suspected: HashSet<PartId>,
+    /// The crashes of which some entry suspects a part.
+    suspected: HashMap<PartId, CrashTimes>,
     active: BTreeMap<QuarantinedParts, Verdict>,
 }
 
@@ -185,14 +188,16 @@
     ) -> QuarantineChange {
         let mut suspects = BTreeSet::new();
         for (entry, findings) in findings {
-            suspects.extend(findings.crashes.iter().flat_map(|crash| &crash.suspects));
+            for crash in &findings.crashes {
+                record_suspects(&mut self.suspected, crash);
+                suspects.extend(&crash.suspects);
+            }
             for report in &findings.survivals {
                 record_newest(&mut self.reported, *report);
             }
             self.peers.insert(entry, findings);
         }
         forget_older_half(&mut self.reported);
-        self.suspected.extend(&suspects);
         let mut is_news = false;
         for part in suspects {
             is_news |= self.publish_survival(part);
@@ -229,9 +234,9 @@
         self.suspected.clear();
         let findings = std::iter::once(&self.own).chain(self.peers.values());
         let crashes = findings.flat_map(|findings| &findings.crashes);
-        let crashes = crashes.filter(|crash| now.since(crash.seen_at) < CRASH_TIME);
-        self.suspected
-            .extend(crashes.flat_map(|crash| &crash.suspects));
+        for crash in crashes.filter(|crash| now.since(crash.seen_at) < CRASH_TIME) {
+            record_suspects(&mut self.suspected, crash);
+        }
         if self.active.is_empty() {
             return QuarantineChange::default();
         }
@@ -250,7 +255,7 @@
         if crash.suspects.is_empty() {
             return false;
         }
-        self.suspected.extend(&crash.suspects);
+        record_suspects(&mut self.suspected, &crash);
         let same = |known: &&mut CrashReport| {
             (&known.engine, known.started_ms) == (&crash.engine, crash.started_ms)
         };
@@ -264,15 +269,22 @@
         true
     }
 
-    /// Adds this entry's newest survival of a part to its findings, if some entry suspects the part and
-    /// no entry has reported a recent survival. Returns whether the findings changed.
+    /// Adds this entry's newest survival of a part to its findings, if the part is about to be
+    /// quarantined or is so, and no reported survival exonerates it. Returns whether the findings
+    /// changed.
     fn publish_survival(&mut self, part: PartId) -> bool {
         let Some(seen_at) = self.survived.get(&part).copied() else {
             return false;
         };
-        let reported = self.reported.get(&part);
-        let is_known = reported.is_some_and(|last| seen_at.since(*last) < SURVIVAL_TIME / 2);
-        if is_known || !self.suspected.contains(&part) {
+        let Some(crashes) = self.suspected.get(&part) else {
+            return false;
+        };
+        let reported = self.reported.get(&part).copied().unwrap_or_default();
+        let counted = crashes.values();
+        let counted = counted.filter(|crashed_at| reported + SURVIVAL_TIME <= **crashed_at);
+        let is_near = counted.clone().count() + 1 >= MIN_CRASHES;
+        let exonerates = |crashed_at: &WallTime| seen_at + SURVIVAL_TIME > *crashed_at;
+        if !is_near || !counted.clone().any(exonerates) {
             return false;
         }
         let report = SurvivalReport { part, seen_at };
@@ -355,6 +367,14 @@
     survivals.retain(|_, seen_at| *seen_at > median);
 }
 
+fn record_suspects(suspected: &mut HashMap<PartId, CrashTimes>, crash: &CrashReport) {
+    for part in &crash.suspects {
+        let key = (crash.engine.clone(), crash.started_ms);
+        let crashes = suspected.entry(*part).or_default();
+        crashes.entry(key).or_insert(crash.seen_at);
+    }
+}
+
 fn record_newest(survivals: &mut HashMap<PartId, WallTime>, report: SurvivalReport) {
     let newest = survivals.entry(report.part).or_default();
     *newest = report.seen_at.max(*newest);
--- a/crates/amaranth-dispatch/tests/prompt_quarantine.rs
+++ b/crates/amaranth-dispatch/tests/prompt_quarantine.rs
@@ -109,6 +109,28 @@
     assert!(!is_quarantined(&quarantine, &[OTHER]));
 }
 
+#[test]
+fn a_survival_is_published_only_when_a_quarantine_depends_on_it() {
+    let mut peer = PromptQuarantine::default();
+    peer.record_survival(at(10_000), [OTHER]);
+    let mut quarantine = PromptQuarantine::default();
+    let mut apply = |seen_ms: u64| {
+        let crash = crash(&format!("e{seen_ms}"), seen_ms, &[OTHER]);
+        quarantine.record_crash(at(seen_ms), crash);
+        let findings = quarantine.findings().clone();
+        peer.apply(at(seen_ms), [("a".to_owned(), findings)])
+    };
+    assert!(!apply(0).must_publish);
+    assert!(
+        apply(100_000).must_publish,
+        "the first crash does not count"
+    );
+    let change = apply(200_000);
+    assert!(!change.must_publish);
+    assert!(change.begun.is_empty(), "two crashes count");
+    assert_eq!(apply(300_000).begun.len(), 1);
+}
+
 #[test]
 fn two_parts_that_crash_engines_at_the_same_time_are_both_quarantined() {
     let mut quarantine = PromptQuarantine::default();
--- a/crates/amaranth-relay/src/findings_task.rs
+++ b/crates/amaranth-relay/src/findings_task.rs
@@ -17,11 +17,12 @@
 /// Maximum time for which a read waits for findings.
 const READ_WAIT: Duration = Duration::from_secs(8);
 
-/// Minimum time between two reads.
-const READ_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two reads, as a fraction of the time within which a published configuration
+/// has to be in force.
+const READ_INTERVAL_FRACTION: f64 = 0.8;
 
 /// Time for which findings are collected before they are published.
-const PUBLISH_DELAY: Duration = Duration::from_millis(50);
+const PUBLISH_DELAY: Duration = Duration::from_millis(200);
 
 /// Delay after the first failed publication; doubled with each further one.
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -75,7 +76,7 @@
     let options = FeedOptions {
         name: "findings",
         wait: READ_WAIT,
-        interval: READ_INTERVAL,
+        interval: core.options.config_bound.mul_f64(READ_INTERVAL_FRACTION),
     };
     let reader = Arc::clone(core);
     let (publisher, expirer) = (Arc::clone(core), Arc::clone(core));
