--- a/crates/amaranth-dispatch/tests/prompt_quarantine.rs
+++ b/crates/amaranth-dispatch/tests/prompt_quarantine.rs
@@ -230,6 +230,7 @@
 #[case::one_of_three(3, 9, 1)]
 #[case::a_third_of_many(69, 120, 23)]
 #[case::a_third_of_some(30, 60, 11)]
+#[case::most(30, 60, 24)]
 fn entries_that_reach_the_store_stop_such_calls_although_others_do_not(
     #[case] entries: usize,
     #[case] engines: usize,
