Test that a request which crashed three endpoints reaches no further ones

The tests repeat one request, with a new id each time, at one entry and at eight, beside sound ones that differ in the body only.

--- a/crates/amaranth-relay/tests/relay/crashing_engines.rs
+++ b/crates/amaranth-relay/tests/relay/crashing_engines.rs
@@ -1,5 +1,5 @@
-//! Stand-ins of engines that end when they begin to answer a prompt with a certain part, and start
-//! again under another id.
+//! Stand-ins of endpoints that end when they begin to answer a prompt with a certain part or a certain
+//! request, and start again under another id.
 
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -14,11 +14,16 @@
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::sleep;
 
-use crate::support::{LAST_CHUNK, event, header, read_request, record, stream_head};
+use crate::support::{
+    LAST_CHUNK, complete_answer, event, header, read_request, record, stream_head,
+};
 
 /// The id of the part that crashes engines.
 pub const CRASHING_PART: &str = "bad";
 
+/// The body of the request that crashes endpoints.
+pub const CRASHING_BODY: &str = "boom";
+
 /// Time for which a crashed engine is down.
 const RESTART_TIME: Duration = Duration::from_millis(150);
 
@@ -29,7 +34,8 @@
     crashing_arrivals: Vec<Instant>,
 }
 
-/// Several engines that serve streams and crash on one part of prompts.
+/// Several endpoints that serve streams and plain calls, and crash on one part of prompts and on one
+/// body.
 #[derive(Debug)]
 pub struct CrashingEngines {
     records: Arc<Mutex<EngineRecords>>,
@@ -59,15 +65,15 @@
         self.lock().crashes.len()
     }
 
-    /// Returns the number of calls with the crashing part that reached an engine later than `after`
-    /// after the fifth crash.
-    pub fn late_arrivals(&self, after: Duration) -> usize {
+    /// Returns the number of crashing calls that reached an engine later than `after` after the crash
+    /// of this number, counted from 1.
+    pub fn late_arrivals(&self, crash: usize, after: Duration) -> usize {
         let records = self.lock();
-        let Some(fifth) = records.crashes.get(4) else {
+        let Some(crashed_at) = records.crashes.get(crash - 1) else {
             return 0;
         };
         let arrivals = records.crashing_arrivals.iter();
-        arrivals.filter(|at| **at > *fifth + after).count()
+        arrivals.filter(|at| **at > *crashed_at + after).count()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, EngineRecords> {
@@ -131,16 +137,19 @@
     while let Some(request) = read_request(&mut stream).await {
         let call = header(&request, "call").unwrap_or_default();
         let parts = header(&request, "parts").unwrap_or_default();
-        let is_crashing = parts.split(',').any(|part| part == CRASHING_PART);
+        let is_crashing =
+            parts.split(',').any(|part| part == CRASHING_PART) || request.ends_with(CRASHING_BODY);
+        let is_stream = header(&request, "wants").is_some();
         let head = stream_head(&call);
         if is_crashing {
             let mut records = records.lock().expect("no task panicked");
             records.crashing_arrivals.push(Instant::now());
         }
-        let pieces = if is_crashing {
-            vec![head]
-        } else {
-            vec![head + &event(1), event(2) + LAST_CHUNK]
+        let pieces = match (is_stream, is_crashing) {
+            (true, true) => vec![head],
+            (true, false) => vec![head + &event(1), event(2) + LAST_CHUNK],
+            (false, true) => vec![String::new()],
+            (false, false) => vec![complete_answer("200 OK", &call, "done")],
         };
         for piece in pieces {
             if stream.write_all(piece.as_bytes()).await.is_err() {
--- a/crates/amaranth-relay/tests/relay/quarantine.rs
+++ b/crates/amaranth-relay/tests/relay/quarantine.rs
@@ -1,4 +1,4 @@
-//! Calls whose prompts contain a part that crashes engines.
+//! Calls that crash endpoints: by a part of their prompts, or each time that they are sent.
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex};
@@ -11,12 +11,15 @@
 use amaranth_relay::engine_port::PortError;
 use amaranth_relay::feed::{FeedBatch, FeedError, FeedSource};
 use amaranth_relay::findings_task::{self, FindingsStore, FindingsTasks, PublishedFindings};
+use rstest::rstest;
+use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep, timeout};
 
-use crate::crashing_engines::{CRASHING_PART, CrashingEngines};
-use crate::support::{TEST_TIMEOUT, TestEntry, post, route, status};
+use crate::crashing_engines::{CRASHING_BODY, CRASHING_PART, CrashingEngines};
+use crate::support::{TEST_TIMEOUT, TestEntry, post, post_body, route, status};
 
-/// Time after the fifth crash from which at most three calls with the part may reach engines.
+/// Time after the fifth crash under one part, or the third under one request, from which at most three
+/// further calls may reach engines.
 const QUARANTINE_BOUND: Duration = Duration::from_secs(4);
 
 /// Returns a call with two parts that other calls share and one of its own.
@@ -42,9 +45,9 @@
     sleep(Duration::from_millis(500)).await;
     assert!(engines.crashes() >= 4, "the calls crash engines");
     assert!(
-        engines.late_arrivals(QUARANTINE_BOUND) <= 3,
+        engines.late_arrivals(5, QUARANTINE_BOUND) <= 3,
         "{} calls with the part reached engines later, {} engines crashed",
-        engines.late_arrivals(QUARANTINE_BOUND),
+        engines.late_arrivals(5, QUARANTINE_BOUND),
         engines.crashes()
     );
     let sound = timeout(TEST_TIMEOUT, entry.call(&call_with("c1", "50"))).await;
@@ -139,9 +142,9 @@
     }
     assert!(engines.crashes() > 0, "the calls crash engines");
     assert!(
-        engines.late_arrivals(QUARANTINE_BOUND) <= 3,
+        engines.late_arrivals(5, QUARANTINE_BOUND) <= 3,
         "{} calls with the part reached engines later, {} engines crashed",
-        engines.late_arrivals(QUARANTINE_BOUND),
+        engines.late_arrivals(5, QUARANTINE_BOUND),
         engines.crashes()
     );
     for (number, entry) in entries.iter().enumerate() {
@@ -175,3 +178,75 @@
     assert_eq!(status(&answer), "503");
     assert_eq!(engines.crashes(), 0);
 }
+
+/// Sends crashing calls from many callers to entries in turn, each with an id of its own, beside sound
+/// ones that differ in their bodies only. Returns the number of sound calls that were refused.
+async fn send_crashing_requests(entries: &[Arc<TestEntry>], extra: &str) -> usize {
+    let mut ticks = interval(Duration::from_millis(100));
+    let mut sound_calls = JoinSet::new();
+    for number in 0..80 {
+        ticks.tick().await;
+        let entry = Arc::clone(&entries[number % entries.len()]);
+        let crashing = post_body(&format!("a{number}"), extra, CRASHING_BODY);
+        tokio::spawn(async move { entry.call(&crashing).await });
+        let entry = Arc::clone(&entries[(number + 1) % entries.len()]);
+        let sound = post_body(&format!("b{number}"), extra, &format!("b{number:03}"));
+        sound_calls.spawn(async move { (number, entry.call(&sound).await) });
+    }
+    let answers = sound_calls.join_all().await;
+    let late = answers.iter().filter(|(number, _)| *number >= 60);
+    late.filter(|(_, answer)| status(answer) != "200").count()
+}
+
+#[rstest]
+#[case::a_lookup(RouteKind::Idempotent, "")]
+#[case::a_booking(RouteKind::NonIdempotent, "")]
+#[case::a_stream(RouteKind::Stream, "Wants: m\r\nParts: f0,50,51\r\n")]
+#[case::a_stream_that_its_caller_takes_up_again(
+    RouteKind::Stream,
+    "Wants: m\r\nParts: f0,50,51\r\nAfter-Event: 3\r\n"
+)]
+#[tokio::test]
+async fn a_request_that_crashed_three_endpoints_reaches_no_further_ones(
+    #[case] kind: RouteKind,
+    #[case] extra: &str,
+) {
+    let entry = Arc::new(TestEntry::bind());
+    entry.configure(1, vec![route(kind, true, 2)]);
+    let engines = CrashingEngines::spawn(3, &[Arc::clone(&entry.core)]);
+    let refused = send_crashing_requests(&[entry], extra).await;
+    assert!(engines.crashes() >= 3, "the request crashes endpoints");
+    assert!(
+        engines.late_arrivals(3, QUARANTINE_BOUND) <= 3,
+        "the request reached endpoints {} times more, {} crashed",
+        engines.late_arrivals(3, QUARANTINE_BOUND),
+        engines.crashes()
+    );
+    assert_eq!(refused, 0, "sound calls go on");
+}
+
+#[tokio::test]
+async fn entries_that_each_see_few_crashes_recognise_a_repeated_request_together() {
+    let topic = SharedTopic::default();
+    let (entries, _tasks): (Vec<_>, Vec<_>) = (0..8)
+        .map(|number| {
+            let (entry, tasks) = exchanging_entry(&format!("entry-{number}"), &topic);
+            entry.configure(2, vec![route(RouteKind::Idempotent, false, 2)]);
+            (entry, tasks)
+        })
+        .unzip();
+    let cores: Vec<_> = entries
+        .iter()
+        .map(|entry| Arc::clone(&entry.core))
+        .collect();
+    let engines = CrashingEngines::spawn(6, &cores);
+    let refused = send_crashing_requests(&entries, "").await;
+    assert!(engines.crashes() >= 3, "the request crashes endpoints");
+    assert!(
+        engines.late_arrivals(3, QUARANTINE_BOUND) <= 3,
+        "the request reached endpoints {} times more, {} crashed",
+        engines.late_arrivals(3, QUARANTINE_BOUND),
+        engines.crashes()
+    );
+    assert_eq!(refused, 0, "sound calls go on");
+}
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -568,7 +568,17 @@
 
 /// Returns a call whose caller waits for `left_ms` milliseconds.
 pub fn post_for(id: &str, left_ms: u32, extra: &str) -> String {
+    call_text(id, left_ms, extra, "body")
+}
+
+/// Returns a call with this body.
+pub fn post_body(id: &str, extra: &str, body: &str) -> String {
+    call_text(id, 2_000, extra, body)
+}
+
+fn call_text(id: &str, left_ms: u32, extra: &str, body: &str) -> String {
     format!(
-        "POST /p/x?q=1 HTTP/1.1\r\nHost: h\r\nCall: {id}\r\nLeft-Ms: {left_ms}\r\nConnection: close\r\n{extra}Content-Length: 4\r\n\r\nbody"
+        "POST /p/x?q=1 HTTP/1.1\r\nHost: h\r\nCall: {id}\r\nLeft-Ms: {left_ms}\r\nConnection: close\r\n{extra}Content-Length: {}\r\n\r\n{body}",
+        body.len()
     )
 }
