--- a/crates/amaranth-dispatch/src/call.rs
+++ b/crates/amaranth-dispatch/src/call.rs
@@ -6,8 +6,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_core::digest::hash64;
 use amaranth_core::ids::{AdapterName, ModelName};
 use serde::{Deserialize, Serialize};
+use serde_with::{DeserializeFromStr, SerializeDisplay};
 use smallvec::SmallVec;
 
 /// The id of one attempt of a caller's call.
@@ -100,6 +102,33 @@
     }
 }
 
+/// The digest of what an endpoint receives of a call, which is the same for each attempt of its caller.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, DeserializeFromStr, SerializeDisplay,
+)]
+pub struct RequestDigest(pub u64);
+
+impl RequestDigest {
+    /// Returns the digest of the fields of a request, in order.
+    pub fn of<'a>(fields: impl IntoIterator<Item = &'a [u8]>) -> Self {
+        Self(fields.into_iter().fold(0, hash64))
+    }
+}
+
+impl fmt::Display for RequestDigest {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for RequestDigest {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 /// The decoded head of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallHead {
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -18,7 +18,7 @@
 use crate::endpoint_selection::{DEFAULT_RETRY_AFTER, UNCONFIGURED_RETRY_AFTER, select};
 use crate::endpoint_send::{MIN_TIME_LEFT, collect, send};
 use crate::entry::EntryCore;
-use crate::routed_call::RoutedCall;
+use crate::routed_call::{RoutedCall, request_digest};
 use crate::stream_relay::{self, StreamSource};
 
 /// Handles one call and returns its answer.
@@ -83,8 +83,10 @@
     let engine = rule.and_then(|rule| rule.engine.clone());
     let max_calls = rule.map_or(u32::MAX, |rule| rule.max_calls());
     let need = head.generation.clone().map(Arc::new);
+    let digest = request_digest(&head.host, &parts, &body);
     Ok(RoutedCall {
         head,
+        digest,
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -119,9 +119,10 @@
                 guard.record_lost_connection();
             }
             log::info!(
-                "event=connection_ended id={} endpoint={} parts={} error={error}",
+                "event=connection_ended id={} endpoint={} request={} parts={} error={error}",
                 call.head.id,
                 guard.endpoint(),
+                call.digest,
                 call.part_names()
             );
             return Err(FailedSend::without_answer(failure));
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -6,10 +6,11 @@
 use amaranth_core::ids::{EndpointId, ServiceName};
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
-use amaranth_dispatch::call::{CallHead, GenerationNeed};
+use amaranth_dispatch::call::{CallHead, GenerationNeed, RequestDigest};
 use amaranth_dispatch::routes::{EngineRule, RouteRule};
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri};
+use http::header::{AUTHORIZATION, COOKIE};
+use http::{HeaderMap, HeaderValue, Method, Uri, request};
 use tokio::time::Instant;
 
 use crate::crash_watch;
@@ -28,6 +29,22 @@
     pub last_event_at: Instant,
 }
 
+/// Returns the digest of a request: of what it asks for and of the caller's credentials. Headers that
+/// change with each attempt are left out.
+pub fn request_digest(host: &str, parts: &request::Parts, body: &[u8]) -> RequestDigest {
+    let target = parts.uri.path_and_query();
+    let target = target.map_or(parts.uri.path(), |target| target.as_str());
+    let credential = |name| parts.headers.get(name).map(HeaderValue::as_bytes);
+    RequestDigest::of([
+        parts.method.as_str().as_bytes(),
+        host.to_ascii_lowercase().as_bytes(),
+        target.as_bytes(),
+        credential(AUTHORIZATION).unwrap_or_default(),
+        credential(COOKIE).unwrap_or_default(),
+        body,
+    ])
+}
+
 /// A call with its route, target service and deadlines.
 #[derive(Debug)]
 pub struct RoutedCall {
@@ -45,6 +62,8 @@
     pub body: Bytes,
     /// The route.
     pub route: Arc<RouteRule>,
+    /// The digest of the request, which further attempts of the caller share.
+    pub digest: RequestDigest,
     /// The service to which the call is sent.
     pub service: ServiceName,
     /// The properties of the service's engines, if the service has engines.
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -172,9 +172,10 @@
         StreamStep::Ended => (None, true),
         StreamStep::Broken(failure, reason) => {
             log::info!(
-                "event=stream_broken id={} endpoint={} events=0 parts={} reason={reason:?}",
+                "event=stream_broken id={} endpoint={} events=0 request={} parts={} reason={reason:?}",
                 call.head.id,
                 source.guard.endpoint(),
+                call.digest,
                 call.part_names()
             );
             source.guard.set_outcome(EndpointOutcome::Failed);
@@ -293,10 +294,11 @@
         let mut endpoint = broken.guard.endpoint().clone();
         drop(broken);
         log::info!(
-            "event=stream_broken id={} endpoint={endpoint} events={} last_event={} parts={} reason={reason:?}",
+            "event=stream_broken id={} endpoint={endpoint} events={} last_event={} request={} parts={} reason={reason:?}",
             self.call.head.id,
             self.events,
             self.position.last_event.unwrap_or(0),
+            self.call.digest,
             self.call.part_names()
         );
         if !self.call.route.may_resume() || self.position.last_event.is_none() {
