Attribute crashes of endpoints to properties of calls instead of parts of prompts

Its findings now hold properties of calls, of which a part is one kind and a whole request will be another, and module and types are named for calls. Published records of parts keep their form, so that entries of both builds read each other's; a record with requests is not readable for earlier builds, which skip it.

--- a/crates/amaranth-dispatch/src/call.rs
+++ b/crates/amaranth-dispatch/src/call.rs
@@ -129,6 +129,25 @@
     }
 }
 
+/// A property that several calls may share, by which crashes of their endpoints are attributed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum CallProperty {
+    /// A shared part of the prompt.
+    Part(PartId),
+    /// The whole request.
+    Request(RequestDigest),
+}
+
+impl fmt::Display for CallProperty {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Part(part) => part.fmt(formatter),
+            Self::Request(digest) => write!(formatter, "request:{digest}"),
+        }
+    }
+}
+
 /// The decoded head of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct CallHead {
--- a/crates/amaranth-dispatch/src/prompt_quarantine.rs
+++ b/crates/amaranth-dispatch/src/call_quarantine.rs
@@ -1,10 +1,11 @@
-//! The quarantine of prompt parts that crash engines.
+//! The quarantine of calls that crash endpoints.
 //!
-//! A prompt may contain a part that crashes each engine which begins to answer it. No single entry
-//! sees enough of the crashes, so entries exchange their findings: for each crash, the parts of the
-//! prompts whose answers had not survived, and the parts of prompts whose answers did. Every entry
-//! assesses the findings of all entries by itself. A part is quarantined while it explains several
-//! crashes, at different moments, that no other part explains better, and no prompt with it
+//! A call may crash each endpoint that begins to answer it, for a property that it shares with other
+//! calls: a part of its prompt, or the whole request, which its caller repeats. No single entry sees
+//! enough of the crashes, so entries exchange their findings: for each crash, the properties of the
+//! calls whose answers had not survived, and the properties of calls whose answers did. Every entry
+//! assesses the findings of all entries by itself. A property is quarantined while it explains several
+//! crashes, at different moments, that no other property explains better, and no call with it
 //! survived. Where several parts explain the same crashes, only prompts with all of them are
 //! quarantined.
 //!
@@ -19,9 +20,9 @@
 use amaranth_core::time::WallTime;
 use serde::{Deserialize, Serialize};
 
-use crate::call::PartId;
+use crate::call::CallProperty;
 
-/// Number of engines that a part must have crashed before it is quarantined.
+/// Number of crashes that a property must explain before it is quarantined.
 const MIN_CRASHES: usize = 3;
 
 /// Number of moments at which these crashes must have happened. Engines that fail together do so at
@@ -34,7 +35,7 @@
 /// Time for which a crash counts.
 const CRASH_TIME: Duration = Duration::from_secs(3_600);
 
-/// Time after a prompt survived for which its parts are not suspects.
+/// Time after a call survived for which its properties are not suspects.
 const SURVIVAL_TIME: Duration = Duration::from_secs(30);
 
 /// Limit on the crashes that one entry reports, on the suspects of each, and on the survivals.
@@ -43,7 +44,7 @@
 /// Limit on the survivals that an entry remembers, of its own and of those reported.
 const MAX_SURVIVALS: usize = 8_192;
 
-/// The crash of one incarnation of an engine, as one entry saw it.
+/// The crash of one incarnation of an endpoint, as one entry saw it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
     /// The engine.
@@ -52,15 +53,16 @@
     pub started_ms: Option<u64>,
     /// The time of the crash.
     pub seen_at: WallTime,
-    /// The shared parts of the entry's prompts at the engine whose answers had not survived.
-    pub suspects: BTreeSet<PartId>,
+    /// The properties of the entry's calls at the endpoint whose answers had not survived.
+    pub suspects: BTreeSet<CallProperty>,
 }
 
-/// A part of a prompt whose answer survived.
+/// A property of a call whose answer survived.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SurvivalReport {
-    /// The part.
-    pub part: PartId,
+    /// The property of the call, under the name that earlier releases publish.
+    #[serde(rename = "part")]
+    pub property: CallProperty,
     /// The time until which the answer had survived.
     pub seen_at: WallTime,
 }
@@ -70,21 +72,21 @@
 pub struct EntryFindings {
     /// Crashes of engines.
     pub crashes: Vec<CrashReport>,
-    /// Survivals of parts that some entry suspects.
+    /// Survivals of properties that some entry suspects.
     pub survivals: Vec<SurvivalReport>,
 }
 
-/// The parts whose combination is quarantined: one part, or several of which no evidence tells yet
-/// which one crashes engines.
-pub type QuarantinedParts = BTreeSet<PartId>;
+/// The properties whose combination is quarantined: one property, or several of which no evidence
+/// tells yet which one crashes endpoints.
+pub type QuarantinedProperties = BTreeSet<CallProperty>;
 
 /// The changes of an assessment.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct QuarantineChange {
     /// The combinations that were quarantined, with the number of crashes that each explains.
-    pub begun: Vec<(QuarantinedParts, usize)>,
+    pub begun: Vec<(QuarantinedProperties, usize)>,
     /// The combinations that are no longer quarantined.
-    pub ended: Vec<QuarantinedParts>,
+    pub ended: Vec<QuarantinedProperties>,
     /// Whether this entry's findings changed and have to be published.
     pub must_publish: bool,
 }
@@ -103,24 +105,24 @@
 #[derive(Debug)]
 struct CrashEvidence {
     seen_at: WallTime,
-    suspects: BTreeSet<PartId>,
+    suspects: BTreeSet<CallProperty>,
 }
 
-/// The quarantined prompt parts, and the findings of all entries on which they rest.
+/// The quarantined properties, and the findings of all entries on which they rest.
 #[derive(Debug, Clone, Default)]
-pub struct PromptQuarantine {
+pub struct CallQuarantine {
     own: EntryFindings,
     peers: BTreeMap<String, EntryFindings>,
     /// The newest survivals that this entry saw.
-    survived: HashMap<PartId, WallTime>,
+    survived: HashMap<CallProperty, WallTime>,
     /// The newest survivals that any entry reported.
-    reported: HashMap<PartId, WallTime>,
-    /// The crashes of which some entry suspects a part.
-    suspected: HashMap<PartId, CrashTimes>,
-    active: BTreeMap<QuarantinedParts, Verdict>,
+    reported: HashMap<CallProperty, WallTime>,
+    /// The crashes of which some entry suspects a property.
+    suspected: HashMap<CallProperty, CrashTimes>,
+    active: BTreeMap<QuarantinedProperties, Verdict>,
 }
 
-impl PromptQuarantine {
+impl CallQuarantine {
     /// Returns the findings of this entry.
     pub const fn findings(&self) -> &EntryFindings {
         &self.own
@@ -131,21 +133,21 @@
         self.active.is_empty()
     }
 
-    /// Returns the remaining time of the quarantine of a prompt with these shared parts, if it is
+    /// Returns the remaining time of the quarantine of a call with these properties, if it is
     /// quarantined.
     pub fn time_left(
         &self,
         now: WallTime,
-        parts: impl IntoIterator<Item = PartId>,
+        properties: impl IntoIterator<Item = CallProperty>,
     ) -> Option<Duration> {
         if self.active.is_empty() {
             return None;
         }
-        let parts: BTreeSet<PartId> = parts.into_iter().collect();
+        let properties: BTreeSet<CallProperty> = properties.into_iter().collect();
         let matching = self
             .active
             .iter()
-            .filter(|(quarantined, _)| quarantined.is_subset(&parts));
+            .filter(|(quarantined, _)| quarantined.is_subset(&properties));
         let left = matching.map(|(_, verdict)| verdict.until.since(now));
         left.filter(|left| !left.is_zero()).max()
     }
@@ -160,16 +162,16 @@
         change
     }
 
-    /// Records that the answer to a prompt with these shared parts survived.
+    /// Records that the answer to a call with these properties survived.
     pub fn record_survival(
         &mut self,
         now: WallTime,
-        parts: impl IntoIterator<Item = PartId>,
+        properties: impl IntoIterator<Item = CallProperty>,
     ) -> QuarantineChange {
         let mut is_news = false;
-        for part in parts {
-            self.survived.insert(part, now);
-            is_news |= self.publish_survival(part);
+        for property in properties {
+            self.survived.insert(property, now);
+            is_news |= self.publish_survival(property);
         }
         forget_older_half(&mut self.survived);
         if !is_news {
@@ -199,8 +201,8 @@
         }
         forget_older_half(&mut self.reported);
         let mut is_news = false;
-        for part in suspects {
-            is_news |= self.publish_survival(part);
+        for property in suspects {
+            is_news |= self.publish_survival(property);
         }
         let mut change = self.assess(now);
         change.must_publish = is_news;
@@ -215,7 +217,7 @@
         }
         for report in &published.survivals {
             let known = self.own.survivals.iter();
-            if known.clone().all(|known| known.part != report.part) {
+            if known.clone().all(|known| known.property != report.property) {
                 self.own.survivals.push(*report);
             }
             record_newest(&mut self.reported, *report);
@@ -248,7 +250,7 @@
         let seen_at = crash.seen_at;
         crash
             .suspects
-            .retain(|part| !self.is_exonerated(*part, seen_at));
+            .retain(|property| !self.is_exonerated(*property, seen_at));
         while crash.suspects.len() > MAX_REPORTS {
             crash.suspects.pop_last();
         }
@@ -269,17 +271,17 @@
         true
     }
 
-    /// Adds this entry's newest survival of a part to its findings, if the part is about to be
+    /// Adds this entry's newest survival of a property to its findings, if the property is about to be
     /// quarantined or is so, and no reported survival exonerates it. Returns whether the findings
     /// changed.
-    fn publish_survival(&mut self, part: PartId) -> bool {
-        let Some(seen_at) = self.survived.get(&part).copied() else {
+    fn publish_survival(&mut self, property: CallProperty) -> bool {
+        let Some(seen_at) = self.survived.get(&property).copied() else {
             return false;
         };
-        let Some(crashes) = self.suspected.get(&part) else {
+        let Some(crashes) = self.suspected.get(&property) else {
             return false;
         };
-        let reported = self.reported.get(&part).copied().unwrap_or_default();
+        let reported = self.reported.get(&property).copied().unwrap_or_default();
         let counted = crashes.values();
         let counted = counted.filter(|crashed_at| reported + SURVIVAL_TIME <= **crashed_at);
         let is_near = counted.clone().count() + 1 >= MIN_CRASHES;
@@ -287,9 +289,11 @@
         if !is_near || !counted.clone().any(exonerates) {
             return false;
         }
-        let report = SurvivalReport { part, seen_at };
+        let report = SurvivalReport { property, seen_at };
         record_newest(&mut self.reported, report);
-        self.own.survivals.retain(|report| report.part != part);
+        self.own
+            .survivals
+            .retain(|report| report.property != property);
         self.own.survivals.push(report);
         truncate_oldest(&mut self.own.survivals);
         true
@@ -299,9 +303,12 @@
         std::iter::once(&self.own).chain(self.peers.values())
     }
 
-    /// Returns whether a survival of a part shows that it did not cause a crash at `crashed_at`.
-    fn is_exonerated(&self, part: PartId, crashed_at: WallTime) -> bool {
-        let newest = self.survived.get(&part).max(self.reported.get(&part));
+    /// Returns whether a survival of a property shows that it did not cause a crash at `crashed_at`.
+    fn is_exonerated(&self, property: CallProperty, crashed_at: WallTime) -> bool {
+        let newest = self
+            .survived
+            .get(&property)
+            .max(self.reported.get(&property));
         newest.is_some_and(|survived_at| *survived_at + SURVIVAL_TIME > crashed_at)
     }
 
@@ -312,18 +319,18 @@
         }
         let mut evidence = self.evidence(now);
         let mut active = BTreeMap::new();
-        while let Some((parts, verdict)) = find_culprit(&evidence) {
-            evidence.retain(|crash| !parts.is_subset(&crash.suspects));
-            active.insert(parts, verdict);
+        while let Some((properties, verdict)) = find_culprit(&evidence) {
+            evidence.retain(|crash| !properties.is_subset(&crash.suspects));
+            active.insert(properties, verdict);
         }
         let before = std::mem::replace(&mut self.active, active);
         let begun = self.active.iter();
-        let begun = begun.filter(|(parts, _)| !before.contains_key(*parts));
+        let begun = begun.filter(|(properties, _)| !before.contains_key(*properties));
         let ended = before.keys();
-        let ended = ended.filter(|parts| !self.active.contains_key(*parts));
+        let ended = ended.filter(|properties| !self.active.contains_key(*properties));
         QuarantineChange {
             begun: begun
-                .map(|(parts, verdict)| (parts.clone(), verdict.crashes))
+                .map(|(properties, verdict)| (properties.clone(), verdict.crashes))
                 .collect(),
             ended: ended.cloned().collect(),
             must_publish: false,
@@ -350,14 +357,14 @@
             let seen_at = crash.seen_at;
             crash
                 .suspects
-                .retain(|part| !self.is_exonerated(*part, seen_at));
+                .retain(|property| !self.is_exonerated(*property, seen_at));
         }
         crashes
     }
 }
 
 /// Forgets the older half of survivals if there are too many.
-fn forget_older_half(survivals: &mut HashMap<PartId, WallTime>) {
+fn forget_older_half(survivals: &mut HashMap<CallProperty, WallTime>) {
     if survivals.len() <= MAX_SURVIVALS {
         return;
     }
@@ -367,25 +374,25 @@
     survivals.retain(|_, seen_at| *seen_at > median);
 }
 
-fn record_suspects(suspected: &mut HashMap<PartId, CrashTimes>, crash: &CrashReport) {
-    for part in &crash.suspects {
+fn record_suspects(suspected: &mut HashMap<CallProperty, CrashTimes>, crash: &CrashReport) {
+    for property in &crash.suspects {
         let key = (crash.engine.clone(), crash.started_ms);
-        let crashes = suspected.entry(*part).or_default();
+        let crashes = suspected.entry(*property).or_default();
         crashes.entry(key).or_insert(crash.seen_at);
     }
 }
 
-fn record_newest(survivals: &mut HashMap<PartId, WallTime>, report: SurvivalReport) {
-    let newest = survivals.entry(report.part).or_default();
+fn record_newest(survivals: &mut HashMap<CallProperty, WallTime>, report: SurvivalReport) {
+    let newest = survivals.entry(report.property).or_default();
     *newest = report.seen_at.max(*newest);
 }
 
-/// Returns the parts that together explain the most crashes, if they explain enough of them.
-fn find_culprit(evidence: &[CrashEvidence]) -> Option<(QuarantinedParts, Verdict)> {
-    let mut explained: BTreeMap<PartId, Vec<usize>> = BTreeMap::new();
+/// Returns the properties that together explain the most crashes, if they explain enough of them.
+fn find_culprit(evidence: &[CrashEvidence]) -> Option<(QuarantinedProperties, Verdict)> {
+    let mut explained: BTreeMap<CallProperty, Vec<usize>> = BTreeMap::new();
     for (index, crash) in evidence.iter().enumerate() {
-        for part in &crash.suspects {
-            explained.entry(*part).or_default().push(index);
+        for property in &crash.suspects {
+            explained.entry(*property).or_default().push(index);
         }
     }
     let times = |crashes: &[usize]| {
@@ -400,13 +407,13 @@
         .values()
         .filter(|crashes| is_enough(crashes))
         .max_by_key(|crashes| crashes.len())?;
-    let parts = explained.iter().filter(|(_, crashes)| *crashes == most);
-    let parts: QuarantinedParts = parts.map(|(part, _)| *part).collect();
+    let properties = explained.iter().filter(|(_, crashes)| *crashes == most);
+    let properties: QuarantinedProperties = properties.map(|(property, _)| *property).collect();
     let verdict = Verdict {
         crashes: most.len(),
         until: times(most)[most.len() - MIN_CRASHES] + CRASH_TIME,
     };
-    Some((parts, verdict))
+    Some((properties, verdict))
 }
 
 /// Returns the number of moments at which events happened, whose times are in order.
--- a/crates/amaranth-dispatch/tests/prompt_quarantine.rs
+++ b/crates/amaranth-dispatch/tests/call_quarantine.rs
@@ -5,23 +5,27 @@
 use std::time::Duration;
 
 use amaranth_core::time::WallTime;
-use amaranth_dispatch::call::PartId;
-use amaranth_dispatch::prompt_quarantine::{CrashReport, EntryFindings, PromptQuarantine};
+use amaranth_dispatch::call::{CallProperty, PartId};
+use amaranth_dispatch::call_quarantine::{CallQuarantine, CrashReport, EntryFindings};
 use rstest::rstest;
 
 use fleet::{Exchange, FleetPlan, FleetResult};
 
-#[path = "prompt_quarantine/fleet.rs"]
+#[path = "call_quarantine/fleet.rs"]
 mod fleet;
 
-const BAD: PartId = PartId(0xbad);
-const OTHER: PartId = PartId(2);
+const BAD: CallProperty = part(0xbad);
+const OTHER: CallProperty = part(2);
+
+const fn part(id: u64) -> CallProperty {
+    CallProperty::Part(PartId(id))
+}
 
 fn at(millis: u64) -> WallTime {
     WallTime::from_millis(1_700_000_000_000 + millis)
 }
 
-fn crash(engine: &str, seen_ms: u64, suspects: &[PartId]) -> CrashReport {
+fn crash(engine: &str, seen_ms: u64, suspects: &[CallProperty]) -> CrashReport {
     CrashReport {
         engine: engine.parse().expect("the name is valid"),
         started_ms: Some(1),
@@ -32,9 +36,9 @@
 
 /// Records crashes, 300 ms apart, each with the same suspects.
 fn record_crashes(
-    quarantine: &mut PromptQuarantine,
+    quarantine: &mut CallQuarantine,
     from_ms: u64,
-    suspects: &[impl AsRef<[PartId]>],
+    suspects: &[impl AsRef<[CallProperty]>],
 ) {
     for (index, suspects) in suspects.iter().enumerate() {
         let seen_ms = from_ms + 300 * index as u64;
@@ -43,7 +47,7 @@
     }
 }
 
-fn is_quarantined(quarantine: &PromptQuarantine, parts: &[PartId]) -> bool {
+fn is_quarantined(quarantine: &CallQuarantine, parts: &[CallProperty]) -> bool {
     quarantine
         .time_left(at(5_000), parts.iter().copied())
         .is_some()
@@ -51,21 +55,17 @@
 
 #[test]
 fn a_part_that_three_crashes_have_in_common_is_quarantined() {
-    let mut quarantine = PromptQuarantine::default();
-    record_crashes(
-        &mut quarantine,
-        0,
-        &[&[BAD, PartId(3)][..], &[BAD, PartId(4)]],
-    );
+    let mut quarantine = CallQuarantine::default();
+    record_crashes(&mut quarantine, 0, &[&[BAD, part(3)][..], &[BAD, part(4)]]);
     assert!(!is_quarantined(&quarantine, &[BAD]));
-    record_crashes(&mut quarantine, 600, &[&[BAD, PartId(5)]]);
-    assert!(is_quarantined(&quarantine, &[PartId(7), BAD]));
-    assert!(!is_quarantined(&quarantine, &[PartId(3), PartId(4)]));
+    record_crashes(&mut quarantine, 600, &[&[BAD, part(5)]]);
+    assert!(is_quarantined(&quarantine, &[part(7), BAD]));
+    assert!(!is_quarantined(&quarantine, &[part(3), part(4)]));
 }
 
 #[test]
 fn engines_that_fail_together_quarantine_nothing() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CallQuarantine::default();
     for index in 0..40 {
         let crash = crash(&format!("e{index}"), index, &[OTHER]);
         quarantine.record_crash(at(index), crash);
@@ -75,7 +75,7 @@
 
 #[test]
 fn a_part_whose_prompts_survive_is_no_suspect() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CallQuarantine::default();
     quarantine.record_survival(at(0), [OTHER]);
     record_crashes(&mut quarantine, 100, &[&[BAD, OTHER]; 6]);
     assert!(is_quarantined(&quarantine, &[BAD]));
@@ -84,21 +84,21 @@
 
 #[test]
 fn parts_that_always_crash_together_are_quarantined_together_only() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CallQuarantine::default();
     record_crashes(&mut quarantine, 0, &[&[BAD, OTHER]; 5]);
     assert!(is_quarantined(&quarantine, &[BAD, OTHER]));
     assert!(!is_quarantined(&quarantine, &[OTHER]));
-    record_crashes(&mut quarantine, 2_000, &[&[BAD, PartId(9)]]);
+    record_crashes(&mut quarantine, 2_000, &[&[BAD, part(9)]]);
     assert!(is_quarantined(&quarantine, &[BAD]));
     assert!(!is_quarantined(&quarantine, &[OTHER]));
 }
 
 #[test]
 fn a_survival_that_another_entry_reports_ends_a_quarantine() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CallQuarantine::default();
     record_crashes(&mut quarantine, 0, &[&[OTHER]; 4]);
     assert!(is_quarantined(&quarantine, &[OTHER]));
-    let mut peer = PromptQuarantine::default();
+    let mut peer = CallQuarantine::default();
     peer.record_survival(at(1_500), [OTHER]);
     let change = peer.apply(at(1_600), [("a".to_owned(), quarantine.findings().clone())]);
     assert!(
@@ -111,9 +111,9 @@
 
 #[test]
 fn a_survival_is_published_only_when_a_quarantine_depends_on_it() {
-    let mut peer = PromptQuarantine::default();
+    let mut peer = CallQuarantine::default();
     peer.record_survival(at(10_000), [OTHER]);
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CallQuarantine::default();
     let mut apply = |seen_ms: u64| {
         let crash = crash(&format!("e{seen_ms}"), seen_ms, &[OTHER]);
         quarantine.record_crash(at(seen_ms), crash);
@@ -133,9 +133,9 @@
 
 #[test]
 fn two_parts_that_crash_engines_at_the_same_time_are_both_quarantined() {
-    let mut quarantine = PromptQuarantine::default();
-    let first = [PartId(1), PartId(11)];
-    let second = [PartId(2), PartId(12)];
+    let mut quarantine = CallQuarantine::default();
+    let first = [part(1), part(11)];
+    let second = [part(2), part(12)];
     record_crashes(
         &mut quarantine,
         0,
@@ -146,17 +146,17 @@
         1_200,
         &[&first[..1], &second, &first, &second[..1]],
     );
-    assert!(is_quarantined(&quarantine, &[PartId(1)]));
-    assert!(is_quarantined(&quarantine, &[PartId(2)]));
-    assert!(!is_quarantined(&quarantine, &[PartId(11), PartId(12)]));
+    assert!(is_quarantined(&quarantine, &[part(1)]));
+    assert!(is_quarantined(&quarantine, &[part(2)]));
+    assert!(!is_quarantined(&quarantine, &[part(11), part(12)]));
 }
 
 #[test]
 fn a_restarted_entry_adopts_what_it_had_published() {
-    let mut before = PromptQuarantine::default();
+    let mut before = CallQuarantine::default();
     record_crashes(&mut before, 0, &[&[BAD]; 4]);
     let published = before.findings().clone();
-    let mut after = PromptQuarantine::default();
+    let mut after = CallQuarantine::default();
     let change = after.adopt(at(2_000), published);
     assert!(is_quarantined(&after, &[BAD]));
     assert!(!change.must_publish, "the store has everything");
@@ -166,7 +166,7 @@
 
 #[test]
 fn a_quarantine_ends_with_its_evidence() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CallQuarantine::default();
     record_crashes(&mut quarantine, 0, &[&[BAD]; 3]);
     let hour = 3_600_000;
     assert!(quarantine.time_left(at(hour - 1), [BAD]).is_some());
@@ -177,9 +177,9 @@
 
 #[test]
 fn findings_stay_small() {
-    let mut quarantine = PromptQuarantine::default();
+    let mut quarantine = CallQuarantine::default();
     for index in 0..500 {
-        let suspects: Vec<PartId> = (0..200).map(|part| PartId(index * 1_000 + part)).collect();
+        let suspects: Vec<CallProperty> = (0..200).map(|id| part(index * 1_000 + id)).collect();
         let crash = crash(&format!("e{index}"), index * 300, &suspects);
         quarantine.record_crash(at(index * 300), crash);
         quarantine.record_survival(at(index * 300), suspects);
--- a/crates/amaranth-dispatch/tests/prompt_quarantine/fleet.rs
+++ b/crates/amaranth-dispatch/tests/call_quarantine/fleet.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use amaranth_core::time::WallTime;
-use amaranth_dispatch::call::PartId;
-use amaranth_dispatch::prompt_quarantine::{CrashReport, EntryFindings, PromptQuarantine};
+use amaranth_dispatch::call::CallProperty;
+use amaranth_dispatch::call_quarantine::{CallQuarantine, CrashReport, EntryFindings};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::{BAD, STEP};
+use super::{BAD, STEP, part};
 
 /// The number of steps of a play.
 const STEPS: u64 = 400;
@@ -72,7 +72,7 @@
 
 /// An entry with its disturbances.
 struct FleetEntry {
-    quarantine: PromptQuarantine,
+    quarantine: CallQuarantine,
     must_publish: bool,
     read_version: u64,
     frozen_until: u64,
@@ -83,7 +83,7 @@
 /// A call that an engine answers.
 struct FleetCall {
     entry: usize,
-    parts: Vec<PartId>,
+    parts: Vec<CallProperty>,
     begins_at: u64,
     ends_at: u64,
 }
@@ -138,7 +138,7 @@
         let entries = (0..plan.entries).map(|entry| {
             let cut_until = if entry < plan.cut_off { STEPS } else { 0 };
             FleetEntry {
-                quarantine: PromptQuarantine::default(),
+                quarantine: CallQuarantine::default(),
                 must_publish: false,
                 read_version: 0,
                 frozen_until: 0,
@@ -165,7 +165,7 @@
             0 => entry.frozen_until = until,
             1 => entry.cut_until = until.max(entry.cut_until),
             _ => {
-                entry.quarantine = PromptQuarantine::default();
+                entry.quarantine = CallQuarantine::default();
                 entry.must_publish = false;
                 entry.read_version = 0;
                 entry.frozen_until = step + 5;
@@ -193,8 +193,8 @@
             if self.entries[entry].frozen_until > step {
                 continue;
             }
-            let first = PartId(rng.random_range(0xf0..0xf3));
-            let second = PartId(rng.random_range(0x100..0x140));
+            let first = part(rng.random_range(0xf0..0xf3));
+            let second = part(rng.random_range(0x100..0x140));
             let parts = if is_bad {
                 vec![first, BAD, second]
             } else {
@@ -284,7 +284,7 @@
     /// Reports the crash of an engine by each entry that had a call there which had not survived.
     fn crash(&mut self, name: &str, step: u64, calls: Vec<FleetCall>) {
         self.crashes.push(step);
-        let mut suspects: BTreeMap<usize, BTreeSet<PartId>> = BTreeMap::new();
+        let mut suspects: BTreeMap<usize, BTreeSet<CallProperty>> = BTreeMap::new();
         for call in calls {
             if call.begins_at + SURVIVAL_STEPS > step {
                 suspects.entry(call.entry).or_default().extend(call.parts);
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep};
-use amaranth_dispatch::call::{CallHead, GenerationNeed};
+use amaranth_dispatch::call::{CallHead, CallProperty, GenerationNeed};
 use amaranth_dispatch::refusal::{Refusal, RefusalCause};
 use amaranth_dispatch::routes::RouteRule;
 use amaranth_dispatch::stop_policy::ExpectedCall;
@@ -84,9 +84,12 @@
     let max_calls = rule.map_or(u32::MAX, |rule| rule.max_calls());
     let need = head.generation.clone().map(Arc::new);
     let digest = request_digest(&head.host, &parts, &body);
+    let shared_parts = need.iter().flat_map(|need| need.shared_parts());
+    let properties = shared_parts.map(CallProperty::Part).collect();
     Ok(RoutedCall {
         head,
         digest,
+        properties,
         method: parts.method,
         target: parts.uri,
         headers: parts.headers,
--- a/crates/amaranth-relay/src/crash_watch.rs
+++ b/crates/amaranth-relay/src/crash_watch.rs
@@ -1,5 +1,4 @@
-//! Detection of engines that crashed under a call, and the quarantine of the prompt parts that
-//! crash them.
+//! Detection of endpoints that crashed under a call, and the quarantine of the calls that crash them.
 
 use std::collections::{BTreeSet, HashMap};
 use std::io;
@@ -9,8 +8,8 @@
 
 use amaranth_core::ids::EndpointId;
 use amaranth_core::time::WallTime;
-use amaranth_dispatch::call::{GenerationNeed, PartId};
-use amaranth_dispatch::prompt_quarantine::{CrashReport, QuarantineChange, QuarantinedParts};
+use amaranth_dispatch::call::CallProperty;
+use amaranth_dispatch::call_quarantine::{CrashReport, QuarantineChange, QuarantinedProperties};
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
@@ -23,38 +22,42 @@
 /// and a pause of this process.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// The shared prompt parts of calls whose engine closed the connection, by engine, until it is known
-/// whether the engine crashed.
+/// The properties of calls whose endpoint closed the connection, by endpoint, until it is known
+/// whether the endpoint crashed.
 #[derive(Debug, Default)]
 pub struct CrashWatch {
-    suspects: Mutex<HashMap<EndpointId, BTreeSet<PartId>>>,
+    suspects: Mutex<HashMap<EndpointId, BTreeSet<CallProperty>>>,
 }
 
 impl CrashWatch {
-    fn lock(&self) -> MutexGuard<'_, HashMap<EndpointId, BTreeSet<PartId>>> {
+    fn lock(&self) -> MutexGuard<'_, HashMap<EndpointId, BTreeSet<CallProperty>>> {
         self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
-/// Records that an engine closed the connection of a call whose answer had not survived. The parts of
-/// the prompt become suspects if the engine proves to have crashed.
-pub fn record_lost_connection(core: &Arc<EntryCore>, endpoint: &EndpointId, need: &GenerationNeed) {
-    let mut parts = need.shared_parts().peekable();
-    if parts.peek().is_none() {
+/// Records that an endpoint closed the connection of a call whose answer had not survived. The
+/// properties of the call become suspects if the endpoint proves to have crashed.
+pub fn record_lost_connection(
+    core: &Arc<EntryCore>,
+    endpoint: &EndpointId,
+    properties: &[CallProperty],
+) {
+    if properties.is_empty() {
         return;
     }
+    let properties = properties.iter().copied();
     let mut suspects = core.crashes.lock();
     if let Some(known) = suspects.get_mut(endpoint) {
-        known.extend(parts);
+        known.extend(properties);
         return;
     }
-    suspects.insert(endpoint.clone(), parts.collect());
+    suspects.insert(endpoint.clone(), properties.collect());
     drop(suspects);
     let (core, endpoint) = (Arc::clone(core), endpoint.clone());
     tokio::spawn(async move { confirm_crash(&core, endpoint).await });
 }
 
-/// Reports a crash with the suspects collected, unless the engine left as planned or still listens.
+/// Reports a crash with the suspects collected, unless the endpoint left as planned or still listens.
 async fn confirm_crash(core: &Arc<EntryCore>, endpoint: EndpointId) {
     let seen_at = WallTime::now();
     sleep(COLLECT_TIME).await;
@@ -98,40 +101,37 @@
     )
 }
 
-/// Records that the answer to a prompt survived, so that its parts do not crash engines.
-pub fn record_survival(core: &EntryCore, need: &GenerationNeed) {
+/// Records that the answer to a call survived, so that its properties do not crash endpoints.
+pub fn record_survival(core: &EntryCore, properties: &[CallProperty]) {
     let now = WallTime::now();
-    let change = core
-        .state()
-        .quarantine
-        .record_survival(now, need.shared_parts());
+    let properties = properties.iter().copied();
+    let change = core.state().quarantine.record_survival(now, properties);
     apply_change(core, &change);
 }
 
-/// Returns the remaining time of the quarantine of a prompt, if one of its parts is quarantined.
-pub fn quarantine_left(core: &EntryCore, need: &GenerationNeed) -> Option<Duration> {
+/// Returns the remaining time of the quarantine of a call with these properties, if it is quarantined.
+pub fn quarantine_left(core: &EntryCore, properties: &[CallProperty]) -> Option<Duration> {
     let state = core.state();
     if state.quarantine.is_empty() {
         return None;
     }
-    state
-        .quarantine
-        .time_left(WallTime::now(), need.shared_parts())
+    let properties = properties.iter().copied();
+    state.quarantine.time_left(WallTime::now(), properties)
 }
 
 /// Logs the changes of the quarantine and schedules the publication of the entry's findings.
 pub fn apply_change(core: &EntryCore, change: &QuarantineChange) {
-    for (parts, crashes) in &change.begun {
+    for (properties, crashes) in &change.begun {
         log::warn!(
             "event=parts_quarantined parts={} crashes={crashes}",
-            join(parts)
+            join(properties)
         );
     }
-    for parts in &change.ended {
-        log::info!("event=parts_cleared parts={}", join(parts));
+    for properties in &change.ended {
+        log::info!("event=parts_cleared parts={}", join(properties));
     }
     if !change.begun.is_empty() {
-        // Queued calls with the part are refused now.
+        // Queued calls with these properties are refused now.
         core.notify_change();
     }
     if change.must_publish {
@@ -139,7 +139,7 @@
     }
 }
 
-fn join(parts: &QuarantinedParts) -> String {
-    let names: Vec<String> = parts.iter().map(PartId::to_string).collect();
+fn join(properties: &QuarantinedProperties) -> String {
+    let names: Vec<String> = properties.iter().map(CallProperty::to_string).collect();
     names.join("+")
 }
--- a/crates/amaranth-relay/src/endpoint_selection.rs
+++ b/crates/amaranth-relay/src/endpoint_selection.rs
@@ -134,7 +134,12 @@
     ))?;
     Ok(SelectedEndpoint {
         address,
-        guard: SendGuard::new(Arc::clone(core), endpoint, None),
+        guard: SendGuard::new(
+            Arc::clone(core),
+            endpoint,
+            None,
+            Arc::clone(&call.properties),
+        ),
         adapter_version: None,
     })
 }
@@ -167,6 +172,7 @@
             Arc::clone(core),
             choice.endpoint.clone(),
             Some(Arc::clone(need)),
+            Arc::clone(&call.properties),
         );
         if choice.reason != SelectionReason::Held {
             let key = LoadKey {
@@ -290,7 +296,7 @@
         .is_some_and(|endpoint| endpoint.may_get_calls(now))
 }
 
-/// Returns the refusal of a call whose prompt has a part that crashes engines.
+/// Returns the refusal of a call that crashes endpoints.
 fn quarantine_refusal(core: &EntryCore, call: &RoutedCall) -> Option<Refusal> {
     let left = call.quarantine_left(core)?;
     Some(Refusal::with_retry_after(RefusalCause::Quarantined, left))
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -7,6 +7,7 @@
 
 use amaranth_core::ids::{AdapterName, EndpointId, ModelName};
 use amaranth_core::time::Timestamp;
+use amaranth_dispatch::call_quarantine::CallQuarantine;
 use amaranth_dispatch::endpoint_table::{
     AgentFailure, EndpointChange, EndpointRecord, EndpointTable, RegistryEvent,
 };
@@ -15,7 +16,6 @@
 use amaranth_dispatch::exchange_policy::SHORTAGE_TIME;
 use amaranth_dispatch::fleet_size::FleetSize;
 use amaranth_dispatch::load_limiter::{LoadLimiter, LoadTicket};
-use amaranth_dispatch::prompt_quarantine::PromptQuarantine;
 use amaranth_dispatch::retry_quota::{RetryLimits, RetryQuota};
 use amaranth_dispatch::routes::{
     ConfigOutcome, CurrentConfig, EngineRule, RouteTable, RoutingConfig,
@@ -102,7 +102,7 @@
     /// The calls that wait for a slot at an engine.
     pub slot_queue: SlotQueue,
     /// The prompt parts that crash engines.
-    pub quarantine: PromptQuarantine,
+    pub quarantine: CallQuarantine,
     /// The policy for accepting calls after a stop request.
     pub stop_policy: Option<StopPolicy>,
     /// How recent the known configuration is.
@@ -193,7 +193,7 @@
                 region_short_until: Timestamp::ZERO,
                 load_limiter: LoadLimiter::default(),
                 slot_queue: SlotQueue::default(),
-                quarantine: PromptQuarantine::default(),
+                quarantine: CallQuarantine::default(),
                 stop_policy: None,
                 config_freshness: TableFreshness::default(),
                 registry_freshness: TableFreshness::default(),
--- a/crates/amaranth-relay/src/findings_task.rs
+++ b/crates/amaranth-relay/src/findings_task.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use amaranth_core::time::WallTime;
-use amaranth_dispatch::prompt_quarantine::EntryFindings;
+use amaranth_dispatch::call_quarantine::EntryFindings;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -6,7 +6,7 @@
 use amaranth_core::ids::{EndpointId, ServiceName};
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
-use amaranth_dispatch::call::{CallHead, GenerationNeed, RequestDigest};
+use amaranth_dispatch::call::{CallHead, CallProperty, GenerationNeed, RequestDigest};
 use amaranth_dispatch::routes::{EngineRule, RouteRule};
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, COOKIE};
@@ -64,6 +64,8 @@
     pub route: Arc<RouteRule>,
     /// The digest of the request, which further attempts of the caller share.
     pub digest: RequestDigest,
+    /// The properties by which crashes of endpoints are attributed to calls.
+    pub properties: Arc<[CallProperty]>,
     /// The service to which the call is sent.
     pub service: ServiceName,
     /// The properties of the service's engines, if the service has engines.
@@ -100,9 +102,9 @@
         names.join(",")
     }
 
-    /// Returns the remaining time of the quarantine of the call's prompt, if it is quarantined.
+    /// Returns the remaining time of the quarantine of the call, if it is quarantined.
     pub fn quarantine_left(&self, core: &EntryCore) -> Option<Duration> {
-        crash_watch::quarantine_left(core, self.need.as_deref()?)
+        crash_watch::quarantine_left(core, &self.properties)
     }
 
     /// Returns the position before anything was forwarded.
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -5,7 +5,7 @@
 
 use amaranth_core::ids::EndpointId;
 use amaranth_core::time::Timestamp;
-use amaranth_dispatch::call::GenerationNeed;
+use amaranth_dispatch::call::{CallProperty, GenerationNeed};
 use amaranth_dispatch::endpoint_table::EndpointOutcome;
 use amaranth_dispatch::engine_estimate::PromptTicket;
 use amaranth_dispatch::engine_selector::need_key;
@@ -35,6 +35,7 @@
     core: Arc<EntryCore>,
     endpoint: EndpointId,
     need: Option<Arc<GenerationNeed>>,
+    properties: Arc<[CallProperty]>,
     ticket: Option<PromptTicket>,
     is_streaming: bool,
     first_event_at: Option<Timestamp>,
@@ -50,6 +51,7 @@
         core: Arc<EntryCore>,
         endpoint: EndpointId,
         need: Option<Arc<GenerationNeed>>,
+        properties: Arc<[CallProperty]>,
     ) -> Self {
         let adapter = need.as_deref().and_then(used_adapter);
         let last_event_at = core.now();
@@ -62,6 +64,7 @@
             core,
             endpoint,
             need,
+            properties,
             ticket: None,
             is_streaming: false,
             first_event_at: None,
@@ -143,19 +146,15 @@
     /// Records that the engine can't crash under this call any more: its answer is complete, or has
     /// gone on for long enough.
     pub fn record_survival(&mut self) {
-        if !std::mem::replace(&mut self.has_survived, true)
-            && let Some(need) = &self.need
-        {
-            crash_watch::record_survival(&self.core, need);
+        if !std::mem::replace(&mut self.has_survived, true) {
+            crash_watch::record_survival(&self.core, &self.properties);
         }
     }
 
     /// Records that the engine closed the connection before the answer was complete.
     pub fn record_lost_connection(&self) {
-        if !self.has_survived
-            && let Some(need) = &self.need
-        {
-            crash_watch::record_lost_connection(&self.core, &self.endpoint, need);
+        if !self.has_survived {
+            crash_watch::record_lost_connection(&self.core, &self.endpoint, &self.properties);
         }
     }
 
--- a/crates/amaranth-relay/tests/relay/quarantine.rs
+++ b/crates/amaranth-relay/tests/relay/quarantine.rs
@@ -6,7 +6,7 @@
 
 use amaranth_core::ids::Era;
 use amaranth_core::store::StorePosition;
-use amaranth_dispatch::prompt_quarantine::EntryFindings;
+use amaranth_dispatch::call_quarantine::EntryFindings;
 use amaranth_dispatch::routes::RouteKind;
 use amaranth_relay::engine_port::PortError;
 use amaranth_relay::feed::{FeedBatch, FeedError, FeedSource};
