Quarantine requests that crash endpoints, whatever service they are for

Each call now has its whole request as one more property beside the parts. A request that explains three crashes at two moments is quarantined alone; requests that explain the same crashes wait for one crash more, since one of them may only have been at the endpoint that the other one crashed. Suspects of earlier crashes come first within the limit of each report.

The requests of the test for parts had one body for different prompts, which made them one request; they have bodies of their own now, and every assertion stands.

--- a/crates/amaranth-dispatch/src/call.rs
+++ b/crates/amaranth-dispatch/src/call.rs
@@ -139,6 +139,13 @@
     Request(RequestDigest),
 }
 
+impl CallProperty {
+    /// Returns whether the property is a whole request.
+    pub const fn is_request(&self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+}
+
 impl fmt::Display for CallProperty {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/amaranth-dispatch/src/call_quarantine.rs
+++ b/crates/amaranth-dispatch/src/call_quarantine.rs
@@ -7,7 +7,8 @@
 //! assesses the findings of all entries by itself. A property is quarantined while it explains several
 //! crashes, at different moments, that no other property explains better, and no call with it
 //! survived. Where several parts explain the same crashes, only prompts with all of them are
-//! quarantined.
+//! quarantined, and where a request does so too, only that request. Requests that explain the same
+//! crashes are not quarantined before one crash more.
 //!
 //! Findings are state, not messages: each entry publishes its findings as a whole, and those of one
 //! entry replace its earlier ones. Lost, repeated and reordered updates do no harm, and the
@@ -29,6 +30,10 @@
 /// one moment.
 const MIN_MOMENTS: usize = 3;
 
+/// Number of moments at which the crashes under a request must have happened. Its caller repeats it
+/// when it is answered, so that endpoints which fail together rarely share it.
+const MIN_REQUEST_MOMENTS: usize = 2;
+
 /// Time between two moments.
 const MOMENT_GAP: Duration = Duration::from_millis(200);
 
@@ -38,7 +43,7 @@
 /// Time after a call survived for which its properties are not suspects.
 const SURVIVAL_TIME: Duration = Duration::from_secs(30);
 
-/// Limit on the crashes that one entry reports, on the suspects of each, and on the survivals.
+/// Limit on the crashes that one entry reports, on the suspects of each kind, and on the survivals.
 const MAX_REPORTS: usize = 64;
 
 /// Limit on the survivals that an entry remembers, of its own and of those reported.
@@ -251,9 +256,7 @@
         crash
             .suspects
             .retain(|property| !self.is_exonerated(*property, seen_at));
-        while crash.suspects.len() > MAX_REPORTS {
-            crash.suspects.pop_last();
-        }
+        crash.suspects = self.limit_suspects(crash.suspects);
         if crash.suspects.is_empty() {
             return false;
         }
@@ -299,6 +302,18 @@
         true
     }
 
+    /// Returns the suspects within the limit for each kind, first those of earlier crashes.
+    fn limit_suspects(&self, suspects: BTreeSet<CallProperty>) -> BTreeSet<CallProperty> {
+        let (requests, parts): (Vec<_>, Vec<_>) =
+            suspects.into_iter().partition(CallProperty::is_request);
+        let limited = [requests, parts].into_iter().flat_map(|mut kind| {
+            kind.sort_by_key(|property| !self.suspected.contains_key(property));
+            kind.truncate(MAX_REPORTS);
+            kind
+        });
+        limited.collect()
+    }
+
     fn all_findings(&self) -> impl Iterator<Item = &EntryFindings> {
         std::iter::once(&self.own).chain(self.peers.values())
     }
@@ -319,9 +334,11 @@
         }
         let mut evidence = self.evidence(now);
         let mut active = BTreeMap::new();
-        while let Some((properties, verdict)) = find_culprit(&evidence) {
-            evidence.retain(|crash| !properties.is_subset(&crash.suspects));
-            active.insert(properties, verdict);
+        while let Some((culprits, verdict)) = find_culprits(&evidence) {
+            for properties in culprits {
+                evidence.retain(|crash| !properties.is_subset(&crash.suspects));
+                active.insert(properties, verdict);
+            }
         }
         let before = std::mem::replace(&mut self.active, active);
         let begun = self.active.iter();
@@ -387,33 +404,73 @@
     *newest = report.seen_at.max(*newest);
 }
 
-/// Returns the properties that together explain the most crashes, if they explain enough of them.
-fn find_culprit(evidence: &[CrashEvidence]) -> Option<(QuarantinedProperties, Verdict)> {
-    let mut explained: BTreeMap<CallProperty, Vec<usize>> = BTreeMap::new();
+/// The crashes that some properties explain, as indices of the evidence in order.
+type ExplainedCrashes = Vec<usize>;
+
+/// Returns the combinations of properties that explain the most crashes, if they explain enough of
+/// them: the parts that explain the same crashes as one combination, or each request that does.
+fn find_culprits(evidence: &[CrashEvidence]) -> Option<(Vec<QuarantinedProperties>, Verdict)> {
+    let mut explained: BTreeMap<CallProperty, ExplainedCrashes> = BTreeMap::new();
     for (index, crash) in evidence.iter().enumerate() {
         for property in &crash.suspects {
             explained.entry(*property).or_default().push(index);
         }
     }
+    let mut groups: BTreeMap<ExplainedCrashes, Vec<CallProperty>> = BTreeMap::new();
+    for (property, crashes) in explained {
+        if crashes.len() >= MIN_CRASHES {
+            groups.entry(crashes).or_default().push(property);
+        }
+    }
     let times = |crashes: &[usize]| {
         let times = crashes.iter().map(|index| evidence[*index].seen_at);
         let mut times: Vec<WallTime> = times.collect();
         times.sort_unstable();
         times
     };
-    let is_enough =
-        |crashes: &[usize]| crashes.len() >= MIN_CRASHES && moments(&times(crashes)) >= MIN_MOMENTS;
-    let most = explained
-        .values()
-        .filter(|crashes| is_enough(crashes))
-        .max_by_key(|crashes| crashes.len())?;
-    let properties = explained.iter().filter(|(_, crashes)| *crashes == most);
-    let properties: QuarantinedProperties = properties.map(|(property, _)| *property).collect();
+    let is_enough = |(crashes, properties): &(&ExplainedCrashes, &Vec<CallProperty>)| {
+        let moments = moments(&times(crashes));
+        if properties.iter().any(CallProperty::is_request) {
+            moments >= MIN_REQUEST_MOMENTS
+                && (crashes.len() > MIN_CRASHES || !is_contested(&groups, crashes))
+        } else {
+            moments >= MIN_MOMENTS
+        }
+    };
+    let most = groups.iter().filter(is_enough);
+    let (crashes, properties) = most.max_by_key(|(crashes, _)| crashes.len())?;
+    let requests = properties.iter().filter(|property| property.is_request());
+    let mut culprits: Vec<QuarantinedProperties> =
+        requests.map(|request| [*request].into()).collect();
+    if culprits.is_empty() {
+        culprits.push(properties.iter().copied().collect());
+    }
     let verdict = Verdict {
-        crashes: most.len(),
-        until: times(most)[most.len() - MIN_CRASHES] + CRASH_TIME,
+        crashes: crashes.len(),
+        until: times(crashes)[crashes.len() - MIN_CRASHES] + CRASH_TIME,
+    };
+    Some((culprits, verdict))
+}
+
+/// Returns whether several requests explain some of these crashes equally well. One of them may only
+/// have been at the endpoints that the other one crashed.
+fn is_contested(
+    groups: &BTreeMap<ExplainedCrashes, Vec<CallProperty>>,
+    crashes: &ExplainedCrashes,
+) -> bool {
+    let requests = |properties: &[CallProperty]| {
+        let requests = properties.iter().filter(|property| property.is_request());
+        requests.count()
     };
-    Some((properties, verdict))
+    let equal = groups
+        .iter()
+        .filter(|(others, _)| others.len() == crashes.len());
+    let overlapping =
+        equal.filter(|(others, _)| others.iter().any(|index| crashes.contains(index)));
+    let contenders: usize = overlapping
+        .map(|(_, properties)| requests(properties))
+        .sum();
+    contenders > 1
 }
 
 /// Returns the number of moments at which events happened, whose times are in order.
--- a/crates/amaranth-dispatch/src/refusal.rs
+++ b/crates/amaranth-dispatch/src/refusal.rs
@@ -26,7 +26,7 @@
     AdapterWait,
     /// Every endpoint of the service asked for a pause.
     EndpointsPaused,
-    /// The prompt has a part that crashes engines.
+    /// The call crashes endpoints.
     Quarantined,
     /// The endpoints would not answer before the caller's deadline.
     Overloaded,
--- a/crates/amaranth-dispatch/tests/call_quarantine.rs
+++ b/crates/amaranth-dispatch/tests/call_quarantine.rs
@@ -1,15 +1,17 @@
-//! Tests of the quarantine of prompt parts: single assessments, and fleets of entries that exchange
-//! findings while entries join, restart, freeze and are cut off.
+//! Tests of the quarantine of calls that crash endpoints: single assessments, and fleets of entries
+//! that exchange findings while entries join, restart, freeze and are cut off.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
 
 use amaranth_core::time::WallTime;
-use amaranth_dispatch::call::{CallProperty, PartId};
-use amaranth_dispatch::call_quarantine::{CallQuarantine, CrashReport, EntryFindings};
+use amaranth_dispatch::call::{CallProperty, PartId, RequestDigest};
+use amaranth_dispatch::call_quarantine::{
+    CallQuarantine, CrashReport, EntryFindings, SurvivalReport,
+};
 use rstest::rstest;
 
-use fleet::{Exchange, FleetPlan, FleetResult};
+use fleet::{BadCalls, Exchange, FleetPlan, FleetResult};
 
 #[path = "call_quarantine/fleet.rs"]
 mod fleet;
@@ -17,6 +19,12 @@
 const BAD: CallProperty = part(0xbad);
 const OTHER: CallProperty = part(2);
 
+const BAD_REQUEST: CallProperty = request(0xbad);
+
+const fn request(digest: u64) -> CallProperty {
+    CallProperty::Request(RequestDigest(digest))
+}
+
 const fn part(id: u64) -> CallProperty {
     CallProperty::Part(PartId(id))
 }
@@ -194,6 +202,92 @@
     );
 }
 
+#[test]
+fn a_request_that_three_crashes_have_in_common_is_quarantined_alone() {
+    let mut quarantine = CallQuarantine::default();
+    let suspects = [
+        &[BAD_REQUEST, OTHER, request(1)][..],
+        &[BAD_REQUEST, OTHER, request(2)],
+    ];
+    record_crashes(&mut quarantine, 0, &suspects);
+    assert!(!is_quarantined(&quarantine, &[BAD_REQUEST, OTHER]));
+    record_crashes(&mut quarantine, 600, &[&[BAD_REQUEST, OTHER]]);
+    assert!(is_quarantined(&quarantine, &[BAD_REQUEST]));
+    assert!(!is_quarantined(&quarantine, &[OTHER, request(1)]));
+}
+
+#[test]
+fn a_request_that_shares_three_crashes_with_another_is_not_quarantined_for_them() {
+    let mut quarantine = CallQuarantine::default();
+    record_crashes(&mut quarantine, 0, &[&[BAD_REQUEST, request(1)]; 3]);
+    assert!(!is_quarantined(&quarantine, &[BAD_REQUEST]));
+    assert!(!is_quarantined(&quarantine, &[request(1)]));
+    record_crashes(&mut quarantine, 900, &[&[BAD_REQUEST]]);
+    assert!(is_quarantined(&quarantine, &[BAD_REQUEST]));
+    assert!(!is_quarantined(&quarantine, &[request(1)]));
+}
+
+#[test]
+fn requests_that_always_crash_together_are_each_quarantined() {
+    let mut quarantine = CallQuarantine::default();
+    record_crashes(&mut quarantine, 0, &[&[BAD_REQUEST, request(1)]; 4]);
+    assert!(is_quarantined(&quarantine, &[BAD_REQUEST]));
+    assert!(is_quarantined(&quarantine, &[request(1)]));
+}
+
+#[test]
+fn a_part_is_quarantined_although_one_of_its_requests_is_repeated() {
+    let mut quarantine = CallQuarantine::default();
+    record_crashes(&mut quarantine, 0, &[&[BAD, request(1)]; 3]);
+    assert!(is_quarantined(&quarantine, &[BAD, request(1)]));
+    assert!(!is_quarantined(&quarantine, &[BAD, request(2)]));
+    record_crashes(&mut quarantine, 900, &[&[BAD, request(2)]]);
+    assert!(is_quarantined(&quarantine, &[BAD, request(3)]));
+}
+
+#[test]
+fn a_request_that_survived_is_no_suspect() {
+    let mut quarantine = CallQuarantine::default();
+    record_crashes(&mut quarantine, 0, &[&[request(1)]; 3]);
+    assert!(is_quarantined(&quarantine, &[request(1)]));
+    let change = quarantine.record_survival(at(1_000), [request(1)]);
+    assert!(change.must_publish, "other entries hold it for bad");
+    assert!(!is_quarantined(&quarantine, &[request(1)]));
+}
+
+#[test]
+fn a_crash_names_the_suspects_of_earlier_ones_among_many() {
+    let mut quarantine = CallQuarantine::default();
+    let many = |base: u64| (0..200).map(move |id| request(base + id));
+    for round in 0..3 {
+        let mut suspects: Vec<CallProperty> = many(round * 1_000).collect();
+        if round == 0 {
+            suspects = vec![request(u64::MAX)];
+        }
+        suspects.push(request(u64::MAX));
+        suspects.extend((0..200).map(|id| part(round * 1_000 + id)));
+        let crash = crash(&format!("e{round}"), round * 300, &suspects);
+        quarantine.record_crash(at(round * 300), crash);
+    }
+    assert!(is_quarantined(&quarantine, &[request(u64::MAX)]));
+}
+
+#[test]
+fn findings_of_parts_keep_their_published_form() {
+    let survival = SurvivalReport {
+        property: OTHER,
+        seen_at: at(0),
+    };
+    let findings = EntryFindings {
+        crashes: vec![crash("e1", 0, &[BAD, BAD_REQUEST])],
+        survivals: vec![survival],
+    };
+    let text = serde_json::to_string_pretty(&findings).expect("findings are JSON");
+    insta::assert_snapshot!(text);
+    let read: EntryFindings = serde_json::from_str(&text).expect("the text is findings");
+    assert_eq!(read, findings);
+}
+
 fn assert_kept(result: &FleetResult, seed: u64) {
     assert!(
         result.crashes > 0 && result.sound_calls > 0,
@@ -207,13 +301,17 @@
 }
 
 #[rstest]
-#[case::three_entries(3, 9, 12)]
-#[case::sixty_eight_entries(68, 120, 8)]
-#[case::four_hundred_entries(400, 300, 2)]
+#[case::three_entries(3, 9, 12, BadCalls::Part)]
+#[case::sixty_eight_entries(68, 120, 8, BadCalls::Part)]
+#[case::four_hundred_entries(400, 300, 2, BadCalls::Part)]
+#[case::a_request_at_three_entries(3, 3, 40, BadCalls::Request)]
+#[case::a_request_at_sixty_eight_entries(68, 6, 20, BadCalls::Request)]
+#[case::a_request_at_four_hundred_entries(400, 300, 2, BadCalls::Request)]
 fn the_fleet_stops_calls_that_crash_engines(
     #[case] entries: usize,
     #[case] engines: usize,
     #[case] seeds: u64,
+    #[case] bad: BadCalls,
 ) {
     for seed in 0..seeds {
         let plan = FleetPlan {
@@ -221,20 +319,24 @@
             engines,
             faults: true,
             cut_off: 0,
+            bad,
         };
         assert_kept(&fleet::play(plan, Exchange::Shared, seed), seed);
     }
 }
 
 #[rstest]
-#[case::one_of_three(3, 9, 1)]
-#[case::a_third_of_many(69, 120, 23)]
-#[case::a_third_of_some(30, 60, 11)]
-#[case::most(30, 60, 24)]
+#[case::one_of_three(3, 9, 1, BadCalls::Part)]
+#[case::a_third_of_many(69, 120, 23, BadCalls::Part)]
+#[case::a_third_of_some(30, 60, 11, BadCalls::Part)]
+#[case::most(30, 60, 24, BadCalls::Part)]
+#[case::a_request_and_one_of_three(3, 3, 1, BadCalls::Request)]
+#[case::a_request_and_a_third(30, 60, 11, BadCalls::Request)]
 fn entries_that_reach_the_store_stop_such_calls_although_others_do_not(
     #[case] entries: usize,
     #[case] engines: usize,
     #[case] cut_off: usize,
+    #[case] bad: BadCalls,
 ) {
     for seed in 0..12 {
         let plan = FleetPlan {
@@ -242,18 +344,22 @@
             engines,
             faults: true,
             cut_off,
+            bad,
         };
         assert_kept(&fleet::play(plan, Exchange::Shared, seed), seed);
     }
 }
 
-#[test]
-fn entries_that_keep_their_findings_to_themselves_go_on_crashing_engines() {
+#[rstest]
+#[case::a_part(BadCalls::Part)]
+#[case::a_request(BadCalls::Request)]
+fn entries_that_keep_their_findings_to_themselves_go_on_crashing_engines(#[case] bad: BadCalls) {
     let plan = FleetPlan {
         entries: 68,
         engines: 120,
         faults: false,
         cut_off: 0,
+        bad,
     };
     let result = fleet::play(plan, Exchange::None, 1);
     assert!(result.late_sends > 3, "{result:?}");
--- a/crates/amaranth-dispatch/tests/call_quarantine/fleet.rs
+++ b/crates/amaranth-dispatch/tests/call_quarantine/fleet.rs
@@ -1,5 +1,5 @@
-//! A simulated fleet: entries that send calls to engines, engines that crash on one part of prompts,
-//! and a store through which entries exchange findings.
+//! A simulated fleet: entries that send calls to engines, engines that crash on one part of prompts or
+//! on one request, and a store through which entries exchange findings.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -9,7 +9,7 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
-use super::{BAD, STEP, part};
+use super::{BAD, BAD_REQUEST, STEP, part, request};
 
 /// The number of steps of a play.
 const STEPS: u64 = 400;
@@ -42,6 +42,32 @@
     None,
 }
 
+/// What crashes engines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BadCalls {
+    /// Calls with one part in their prompts.
+    Part,
+    /// One request that is repeated. Calls that a crash broke off are sent once more.
+    Request,
+}
+
+impl BadCalls {
+    const fn property(self) -> CallProperty {
+        match self {
+            Self::Part => BAD,
+            Self::Request => BAD_REQUEST,
+        }
+    }
+
+    /// Returns the number of the crash from which the bound counts, from 0.
+    const fn bound_crash(self) -> usize {
+        match self {
+            Self::Part => 4,
+            Self::Request => 2,
+        }
+    }
+}
+
 /// The size of a fleet and its troubles.
 #[derive(Debug, Clone, Copy)]
 pub struct FleetPlan {
@@ -53,6 +79,8 @@
     pub faults: bool,
     /// The number of entries that never reach the store.
     pub cut_off: usize,
+    /// What crashes engines.
+    pub bad: BadCalls,
 }
 
 /// What a play showed.
@@ -60,11 +88,10 @@
 pub struct FleetResult {
     /// The number of crashes.
     pub crashes: u64,
-    /// The number of calls with the bad part that undisturbed entries sent after the bound, which
-    /// counts from the fifth crash.
+    /// The number of bad calls that undisturbed entries sent after the bound.
     pub late_sends: u64,
     /// The number of sound calls at undisturbed entries after twice the bound, which counts from the
-    /// last crash if there are fewer than five.
+    /// last crash if there are too few.
     pub sound_calls: u64,
     /// The number of these that were refused.
     pub sound_refused: u64,
@@ -83,7 +110,9 @@
 /// A call that an engine answers.
 struct FleetCall {
     entry: usize,
-    parts: Vec<CallProperty>,
+    properties: Vec<CallProperty>,
+    is_bad: bool,
+    is_retry: bool,
     begins_at: u64,
     ends_at: u64,
 }
@@ -116,7 +145,7 @@
             fleet.disturb(step, &mut rng);
         }
         fleet.send_calls(step, &mut rng);
-        fleet.run_engines(step);
+        fleet.run_engines(step, &mut rng);
         if exchange == Exchange::Shared {
             fleet.exchange(step);
         }
@@ -125,6 +154,7 @@
 }
 
 struct Fleet {
+    bad: BadCalls,
     entries: Vec<FleetEntry>,
     engines: Vec<FleetEngine>,
     store: BTreeMap<usize, (u64, EntryFindings)>,
@@ -147,6 +177,7 @@
             }
         });
         Self {
+            bad: plan.bad,
             entries: entries.collect(),
             engines: (0..plan.engines).map(|_| FleetEngine::default()).collect(),
             store: BTreeMap::new(),
@@ -195,37 +226,52 @@
             }
             let first = part(rng.random_range(0xf0..0xf3));
             let second = part(rng.random_range(0x100..0x140));
-            let parts = if is_bad {
-                vec![first, BAD, second]
-            } else {
-                vec![first, second]
+            let properties = match (self.bad, is_bad) {
+                (BadCalls::Part, true) => vec![first, BAD, second],
+                (BadCalls::Part, false) => vec![first, second],
+                (BadCalls::Request, true) => vec![BAD_REQUEST],
+                (BadCalls::Request, false) => vec![request(step << 8 | number)],
             };
-            let quarantine = &self.entries[entry].quarantine;
-            let is_refused = quarantine
-                .time_left(time(step), parts.iter().copied())
-                .is_some();
-            if self.is_undisturbed(entry, step) {
-                self.calls.push(CountedCall {
-                    step,
+            self.send(
+                step,
+                FleetCall {
+                    entry,
+                    properties,
                     is_bad,
-                    is_refused,
-                });
-            }
-            let up: Vec<usize> = (0..self.engines.len())
-                .filter(|engine| self.engines[*engine].down_until <= step)
-                .collect();
-            if is_refused || up.is_empty() {
-                continue;
-            }
-            let engine = up[rng.random_range(0..up.len())];
-            let begins_at = step + rng.random_range(1..5);
-            self.engines[engine].calls.push(FleetCall {
-                entry,
-                parts,
-                begins_at,
-                ends_at: begins_at + rng.random_range(2..30),
+                    is_retry: false,
+                    begins_at: 0,
+                    ends_at: 0,
+                },
+                rng,
+            );
+        }
+    }
+
+    /// Sends a call to an engine that is up, unless its entry refuses it.
+    fn send(&mut self, step: u64, call: FleetCall, rng: &mut SmallRng) {
+        let entry = &self.entries[call.entry];
+        let properties = call.properties.iter().copied();
+        let is_refused = entry.quarantine.time_left(time(step), properties).is_some();
+        if self.is_undisturbed(call.entry, step) {
+            self.calls.push(CountedCall {
+                step,
+                is_bad: call.is_bad,
+                is_refused,
             });
         }
+        let up: Vec<usize> = (0..self.engines.len())
+            .filter(|engine| self.engines[*engine].down_until <= step)
+            .collect();
+        if is_refused || up.is_empty() {
+            return;
+        }
+        let engine = up[rng.random_range(0..up.len())];
+        let begins_at = step + rng.random_range(1..5);
+        self.engines[engine].calls.push(FleetCall {
+            begins_at,
+            ends_at: begins_at + rng.random_range(2..30),
+            ..call
+        });
     }
 
     fn count(&self) -> FleetResult {
@@ -233,14 +279,14 @@
             crashes: self.crashes.len() as u64,
             ..FleetResult::default()
         };
-        let fifth = self.crashes.get(4);
-        let Some(reference) = fifth.or(self.crashes.last()) else {
+        let bound_crash = self.crashes.get(self.bad.bound_crash());
+        let Some(reference) = bound_crash.or(self.crashes.last()) else {
             return result;
         };
         for call in &self.calls {
             let since = call.step.saturating_sub(*reference);
             if call.is_bad {
-                let is_late = fifth.is_some() && since > BOUND_STEPS;
+                let is_late = bound_crash.is_some() && since > BOUND_STEPS;
                 result.late_sends += u64::from(is_late && !call.is_refused);
             } else if since > 2 * BOUND_STEPS {
                 result.sound_calls += 1;
@@ -251,27 +297,29 @@
     }
 
     /// Ends calls whose answers are complete, and crashes engines that begin to answer a bad one.
-    fn run_engines(&mut self, step: u64) {
+    fn run_engines(&mut self, step: u64, rng: &mut SmallRng) {
+        let bad = self.bad.property();
         for index in 0..self.engines.len() {
             let engine = &mut self.engines[index];
             let crashes = engine
                 .calls
                 .iter()
-                .any(|call| call.begins_at <= step && call.parts.contains(&BAD));
+                .any(|call| call.begins_at <= step && call.properties.contains(&bad));
             let calls = std::mem::take(&mut engine.calls);
             if crashes {
                 engine.boot += 1;
                 engine.down_until = step + DOWN_STEPS;
                 let name = format!("e{index}-{}", engine.boot);
-                self.crash(&name, step, calls);
+                self.crash(&name, step, &calls);
+                self.retry(step, calls, rng);
                 continue;
             }
             for call in calls {
                 let entry = &mut self.entries[call.entry];
                 let has_survived = call.ends_at == step || call.begins_at + SURVIVAL_STEPS == step;
                 if has_survived && entry.frozen_until <= step {
-                    let parts = call.parts.iter().copied();
-                    let change = entry.quarantine.record_survival(time(step), parts);
+                    let properties = call.properties.iter().copied();
+                    let change = entry.quarantine.record_survival(time(step), properties);
                     entry.must_publish |= change.must_publish;
                 }
                 if call.ends_at > step {
@@ -282,12 +330,13 @@
     }
 
     /// Reports the crash of an engine by each entry that had a call there which had not survived.
-    fn crash(&mut self, name: &str, step: u64, calls: Vec<FleetCall>) {
+    fn crash(&mut self, name: &str, step: u64, calls: &[FleetCall]) {
         self.crashes.push(step);
         let mut suspects: BTreeMap<usize, BTreeSet<CallProperty>> = BTreeMap::new();
         for call in calls {
             if call.begins_at + SURVIVAL_STEPS > step {
-                suspects.entry(call.entry).or_default().extend(call.parts);
+                let suspects = suspects.entry(call.entry).or_default();
+                suspects.extend(call.properties.iter().copied());
             }
         }
         for (index, suspects) in suspects {
@@ -306,6 +355,23 @@
         }
     }
 
+    /// Sends calls that a crash broke off once more, where whole requests are repeated.
+    fn retry(&mut self, step: u64, calls: Vec<FleetCall>, rng: &mut SmallRng) {
+        if self.bad == BadCalls::Part {
+            return;
+        }
+        for call in calls {
+            if call.is_retry || self.entries[call.entry].frozen_until > step {
+                continue;
+            }
+            let call = FleetCall {
+                is_retry: true,
+                ..call
+            };
+            self.send(step, call, rng);
+        }
+    }
+
     /// Publishes and reads findings at the entries that reach the store.
     fn exchange(&mut self, step: u64) {
         for index in 0..self.entries.len() {
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -85,7 +85,10 @@
     let need = head.generation.clone().map(Arc::new);
     let digest = request_digest(&head.host, &parts, &body);
     let shared_parts = need.iter().flat_map(|need| need.shared_parts());
-    let properties = shared_parts.map(CallProperty::Part).collect();
+    let properties = shared_parts
+        .map(CallProperty::Part)
+        .chain([CallProperty::Request(digest)])
+        .collect();
     Ok(RoutedCall {
         head,
         digest,
--- a/crates/amaranth-relay/src/crash_watch.rs
+++ b/crates/amaranth-relay/src/crash_watch.rs
@@ -123,12 +123,12 @@
 pub fn apply_change(core: &EntryCore, change: &QuarantineChange) {
     for (properties, crashes) in &change.begun {
         log::warn!(
-            "event=parts_quarantined parts={} crashes={crashes}",
+            "event=calls_quarantined properties={} crashes={crashes}",
             join(properties)
         );
     }
     for properties in &change.ended {
-        log::info!("event=parts_cleared parts={}", join(properties));
+        log::info!("event=calls_cleared properties={}", join(properties));
     }
     if !change.begun.is_empty() {
         // Queued calls with these properties are refused now.
--- a/crates/amaranth-relay/tests/relay/quarantine.rs
+++ b/crates/amaranth-relay/tests/relay/quarantine.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::crashing_engines::{CRASHING_BODY, CRASHING_PART, CrashingEngines};
-use crate::support::{TEST_TIMEOUT, TestEntry, post, post_body, route, status};
+use crate::support::{TEST_TIMEOUT, TestEntry, post_body, route, status};
 
 /// Time after the fifth crash under one part, or the third under one request, from which at most three
 /// further calls may reach engines.
@@ -24,7 +24,8 @@
 
 /// Returns a call with two parts that other calls share and one of its own.
 fn call_with(id: &str, second_part: &str) -> String {
-    post(id, &format!("Wants: m\r\nParts: f0,{second_part},{id}\r\n"))
+    let extra = format!("Wants: m\r\nParts: f0,{second_part},{id}\r\n");
+    post_body(id, &extra, &format!("prompt {id}"))
 }
 
 #[tokio::test]
