--- a/crates/amaranth-core/src/ids.rs
+++ b/crates/amaranth-core/src/ids.rs
@@ -1,5 +1,6 @@
 //! Identifiers as newtypes with `Display` and `FromStr`.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::str::FromStr;
 use std::sync::Arc;
@@ -113,6 +114,44 @@
     OperatorName, "operator"
 );
 
+/// The version of an endpoint's software, as the endpoint states it; empty if it states none.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize)]
+#[serde(from = "String", into = "String")]
+pub struct SoftwareVersion(Arc<str>);
+
+impl SoftwareVersion {
+    /// Returns the version as text.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+impl From<String> for SoftwareVersion {
+    fn from(text: String) -> Self {
+        Self(Arc::from(text))
+    }
+}
+
+impl From<SoftwareVersion> for String {
+    fn from(version: SoftwareVersion) -> Self {
+        version.0.as_ref().to_owned()
+    }
+}
+
+impl fmt::Display for SoftwareVersion {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Infallible;
+
+    fn from_str(text: &str) -> std::result::Result<Self, Infallible> {
+        Ok(Self(Arc::from(text)))
+    }
+}
+
 macro_rules! number_type {
     ($(#[$meta:meta])* $name:ident, $role:literal) => {
         $(#[$meta])*
--- a/crates/amaranth-dispatch/src/call.rs
+++ b/crates/amaranth-dispatch/src/call.rs
@@ -168,6 +168,8 @@
     pub max_wait: Option<Duration>,
     /// The id of the last event that the caller has received of an earlier stream.
     pub resume_after: Option<u64>,
+    /// The attempt that brought the first event of that stream.
+    pub resumed_call: Option<CallId>,
     /// The requirements on an engine, if the call is a generation.
     pub generation: Option<GenerationNeed>,
 }
--- a/crates/amaranth-dispatch/src/endpoint_table.rs
+++ b/crates/amaranth-dispatch/src/endpoint_table.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranth_core::ids::{AdapterName, EndpointId, ModelName, ServiceName};
+use amaranth_core::ids::{AdapterName, EndpointId, ModelName, ServiceName, SoftwareVersion};
 use amaranth_core::time::Timestamp;
 use strum::Display;
 
@@ -32,6 +32,8 @@
     pub started_ms: Option<u64>,
     /// The sequence number of the announcement.
     pub sequence: u64,
+    /// The version of the endpoint's software.
+    pub software: SoftwareVersion,
     /// The engine's load and contents, if the endpoint is an engine.
     pub contents: EngineContents,
 }
--- a/crates/amaranth-dispatch/tests/support/mod.rs
+++ b/crates/amaranth-dispatch/tests/support/mod.rs
@@ -56,6 +56,7 @@
         draining: false,
         started_ms: Some(1),
         sequence: 1,
+        software: Default::default(),
         contents: contents(adapters),
     }
 }
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_core::ids::EndpointId;
+use amaranth_core::ids::{EndpointId, SoftwareVersion};
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::call::{CallProperty, GenerationNeed};
 use amaranth_dispatch::endpoint_table::EndpointOutcome;
@@ -34,6 +34,7 @@
 pub struct SendGuard {
     core: Arc<EntryCore>,
     endpoint: EndpointId,
+    software: SoftwareVersion,
     need: Option<Arc<GenerationNeed>>,
     properties: Arc<[CallProperty]>,
     ticket: Option<PromptTicket>,
@@ -55,7 +56,13 @@
     ) -> Self {
         let adapter = need.as_deref().and_then(used_adapter);
         let last_event_at = core.now();
-        let is_first_use = core.state().endpoints.begin_call(&endpoint, adapter);
+        let (is_first_use, software) = {
+            let mut state = core.state();
+            let is_first_use = state.endpoints.begin_call(&endpoint, adapter);
+            let known = state.endpoints.get(&endpoint);
+            let software = known.map(|known| known.record.software.clone());
+            (is_first_use, software.unwrap_or_default())
+        };
         if is_first_use {
             core.announce_usage(&endpoint);
         }
@@ -63,6 +70,7 @@
         Self {
             core,
             endpoint,
+            software,
             need,
             properties,
             ticket: None,
@@ -80,6 +88,11 @@
         &self.endpoint
     }
 
+    /// Returns the version of the endpoint's software when the endpoint was selected.
+    pub const fn software(&self) -> &SoftwareVersion {
+        &self.software
+    }
+
     /// Records that the prompt is sent to the engine now.
     pub fn record_prompt_sent(&mut self) {
         let Some(need) = self.need.clone() else {
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
+use amaranth_dispatch::call::CallId;
 use amaranth_dispatch::endpoint_table::EndpointOutcome;
 use bytes::{Bytes, BytesMut};
 use futures::stream;
@@ -186,6 +187,7 @@
         }
     };
     source.guard.record_first_token();
+    log_resumed_call(call, &source.guard);
     let mut response = Response::new(answer_body::empty());
     *response.status_mut() = source.head.status;
     *response.headers_mut() = core.codec.answer_headers(&source.head.headers);
@@ -220,6 +222,20 @@
     Ok(response)
 }
 
+/// Logs that a call goes on with a stream that its caller received in part.
+fn log_resumed_call(call: &RoutedCall, guard: &SendGuard) {
+    let Some(last_event) = call.head.resume_after else {
+        return;
+    };
+    let resumed = call.head.resumed_call.as_ref().map_or("-", CallId::as_str);
+    log::info!(
+        "event=stream_taken_up id={} resumes={resumed} endpoint={} software={} last_event={last_event}",
+        call.head.id,
+        guard.endpoint(),
+        guard.software()
+    );
+}
+
 /// Forwards the stream of one call and logs the outcome of the call when dropped.
 #[derive(Debug)]
 struct StreamRelay {
@@ -292,9 +308,10 @@
         };
         broken.guard.set_outcome(EndpointOutcome::Failed);
         let mut endpoint = broken.guard.endpoint().clone();
+        let software = broken.guard.software().clone();
         drop(broken);
         log::info!(
-            "event=stream_broken id={} endpoint={endpoint} events={} last_event={} request={} parts={} reason={reason:?}",
+            "event=stream_broken id={} endpoint={endpoint} software={software} events={} last_event={} request={} parts={} reason={reason:?}",
             self.call.head.id,
             self.events,
             self.position.last_event.unwrap_or(0),
@@ -328,8 +345,9 @@
                     let mut source = StreamSource::new(answer);
                     source.guard.record_first_token();
                     log::info!(
-                        "event=stream_resumed id={} endpoint={endpoint} last_event={}",
+                        "event=stream_resumed id={} endpoint={endpoint} software={} last_event={}",
                         self.call.head.id,
+                        source.guard.software(),
                         self.position.last_event.unwrap_or(0)
                     );
                     metrics::counter!("amaranth_streams_resumed_total").increment(1);
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use amaranth_core::ids::EndpointId;
+use amaranth_core::ids::{EndpointId, SoftwareVersion};
 use amaranth_dispatch::call::{CallHead, CallId, GenerationNeed, PromptPart, PromptParts};
 use amaranth_dispatch::endpoint_table::{EndpointRecord, RegistryEvent};
 use amaranth_dispatch::engine_selector::Locality;
@@ -30,6 +30,7 @@
 const ADDRESSED: HeaderName = HeaderName::from_static("meant");
 const LEFT: HeaderName = HeaderName::from_static("left-ms");
 const AFTER: HeaderName = HeaderName::from_static("after-event");
+const RESUMED: HeaderName = HeaderName::from_static("resumed-call");
 const PROOF: HeaderName = HeaderName::from_static("proof");
 const ANSWERED_BY: HeaderName = HeaderName::from_static("by");
 const PARTS: HeaderName = HeaderName::from_static("parts");
@@ -73,6 +74,7 @@
             path: head.uri.path().to_owned(),
             max_wait: number(&LEFT).map(Duration::from_millis),
             resume_after: number(&AFTER),
+            resumed_call: text(&head.headers, &RESUMED).map(|id| CallId::new(&id)),
             generation: text(&head.headers, &WANTS).map(|model| GenerationNeed {
                 model: model.parse().expect("the name is valid"),
                 adapter: None,
@@ -515,6 +517,7 @@
         draining: false,
         started_ms: Some(1),
         sequence: 1,
+        software: SoftwareVersion::default(),
         contents: EngineContents {
             models: vec!["m".parse().expect("the name is valid")],
             ..EngineContents::default()
