Test that a stream goes on only at the software version that began it

The tests break streams within an answer, and have callers take them up at entries that did not begin them, in a fleet with six agents and engines of two versions, also after an agent is lost. Six fail on this code; one, a fleet of a single version, passes and has to go on passing.

--- /dev/null
+++ b/crates/amaranth-relay/tests/relay/software_versions.rs
@@ -0,0 +1,340 @@
+//! Streams on a fleet whose engines have several software versions: a stream goes on only at the
+//! version that began it.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use amaranth_core::ids::EndpointId;
+use amaranth_dispatch::endpoint_table::RegistryEvent;
+use amaranth_dispatch::routes::RouteKind;
+use amaranth_relay::agent::{self, AgentCore};
+use amaranth_relay::feed::FeedEvent;
+use amaranth_relay::store_reader::{ReaderOptions, StoreReader};
+use amaranth_wire::transport::ServerHandle;
+use rstest::rstest;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+use crate::support::{
+    LAST_CHUNK, TestEntry, chunk, event, header, post, read_request, read_to_end, read_until,
+    record, route, status, stream_head,
+};
+
+/// Time for which an entry may take to tell others of a stream.
+const SPREAD_TIME: Duration = Duration::from_millis(400);
+
+/// Time for which an engine holds a stream that it breaks.
+const BREAK_DELAY: Duration = Duration::from_millis(150);
+
+/// The end of an event that states a version.
+const EVENT_END: &str = "data: .\n\n";
+
+/// What an engine does with a stream that begins at it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Beginning {
+    /// It sends two events and keeps the stream open.
+    Held,
+    /// It sends two events and closes the connection some time later.
+    Broken,
+}
+
+/// An engine of one software version, which completes streams that go on at it.
+#[derive(Debug)]
+struct VersionedEngine {
+    software: &'static str,
+    address: SocketAddr,
+    resumed: Arc<Mutex<Vec<String>>>,
+    task: JoinHandle<()>,
+}
+
+impl Drop for VersionedEngine {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl VersionedEngine {
+    async fn bind(vm: &str, software: &'static str, beginning: Beginning) -> Self {
+        let listener = TcpListener::bind((vm, 0))
+            .await
+            .expect("loopback has a free port");
+        let address = listener.local_addr().expect("the listener has an address");
+        let resumed = Arc::new(Mutex::new(Vec::new()));
+        let records = Arc::clone(&resumed);
+        let task = tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(serve_streams(
+                    stream,
+                    software,
+                    beginning,
+                    Arc::clone(&records),
+                ));
+            }
+        });
+        Self {
+            software,
+            address,
+            resumed,
+            task,
+        }
+    }
+
+    /// Returns the calls that went on with a stream at the engine.
+    fn resumed(&self) -> Vec<String> {
+        self.resumed.lock().expect("no task panicked").clone()
+    }
+
+    fn announcement(&self, index: usize, data_centre: &str) -> RegistryEvent {
+        let mut record = record(index, self.address, data_centre);
+        record.software = self.software.parse().expect("any text is a version");
+        RegistryEvent::Announced(Box::new(record))
+    }
+}
+
+async fn serve_streams(
+    mut stream: TcpStream,
+    software: &str,
+    beginning: Beginning,
+    resumed: Arc<Mutex<Vec<String>>>,
+) {
+    while let Some(request) = read_request(&mut stream).await {
+        let call = header(&request, "call").unwrap_or_default();
+        let Some(after) = header(&request, "after-event") else {
+            let second = chunk(&format!("id: 2\ndata: {software}\n{EVENT_END}"));
+            let text = stream_head(&call) + &event(1) + &second;
+            let written = stream.write_all(text.as_bytes()).await;
+            if beginning == Beginning::Broken {
+                sleep(BREAK_DELAY).await;
+            }
+            if written.is_err() || beginning == Beginning::Broken {
+                return;
+            }
+            continue;
+        };
+        resumed.lock().expect("no task panicked").push(call.clone());
+        let next = after.parse::<u64>().expect("the id is a number") + 1;
+        let last = chunk(&format!("id: {next}\ndata: {software}\n\n"));
+        let text = stream_head(&call) + &last + LAST_CHUNK;
+        if stream.write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Announces engines, each in a data centre.
+fn announce(entry: &TestEntry, engines: &[(&VersionedEngine, &str)]) {
+    let events = engines.iter().enumerate();
+    let events = events.map(|(index, (engine, centre))| engine.announcement(index, centre));
+    let snapshot = FeedEvent::Snapshot(events.collect());
+    entry.core.apply_registry(snapshot);
+}
+
+fn serving(engines: &[(&VersionedEngine, &str)]) -> TestEntry {
+    let entry = TestEntry::bind();
+    entry.configure(1, vec![route(RouteKind::Stream, true, 3)]);
+    announce(&entry, engines);
+    entry
+}
+
+/// Returns a call that takes a stream up again after its second event.
+fn take_up(id: &str, first_call: &str) -> String {
+    let extra = format!("Wants: m\r\nAfter-Event: 2\r\nResumed-Call: {first_call}\r\n");
+    post(id, &extra)
+}
+
+/// Begins a stream at the only engine, announces other engines, and returns the rest of the answer
+/// after the engine broke the stream.
+async fn break_stream(first: &VersionedEngine, others: &[(&VersionedEngine, &str)]) -> String {
+    let entry = serving(&[(first, "")]);
+    let (mut caller, version) = begin_stream(&entry, "c1").await;
+    assert_eq!(version, first.software);
+    announce(&entry, &[&[(first, "")], others].concat());
+    read_to_end(&mut caller).await
+}
+
+#[tokio::test]
+async fn a_broken_stream_goes_on_at_an_engine_of_its_software_version() {
+    let first = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Broken).await;
+    let other = VersionedEngine::bind("127.0.0.1", "v1.1", Beginning::Held).await;
+    let same = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Held).await;
+    let rest = break_stream(&first, &[(&other, ""), (&same, "far")]).await;
+    assert_eq!(versions(&rest), ["v1"]);
+    assert!(rest.ends_with(LAST_CHUNK), "{rest}");
+    assert_eq!(other.resumed(), Vec::<String>::new());
+}
+
+#[tokio::test]
+async fn a_broken_stream_ends_when_no_engine_of_its_software_version_is_left() {
+    let first = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Broken).await;
+    let other = VersionedEngine::bind("127.0.0.1", "v1.1", Beginning::Held).await;
+    let rest = break_stream(&first, &[(&other, "")]).await;
+    assert!(!rest.ends_with(LAST_CHUNK), "{rest}");
+    assert_eq!(other.resumed(), Vec::<String>::new());
+}
+
+#[rstest]
+#[case::of_an_unknown_call("Resumed-Call: c0\r\n")]
+#[case::of_no_named_call("")]
+#[tokio::test]
+async fn a_stream_of_unknown_origin_is_not_run_where_versions_are_mixed(#[case] resumed: &str) {
+    let old = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Held).await;
+    let new = VersionedEngine::bind("127.0.0.1", "v2", Beginning::Held).await;
+    let entry = serving(&[(&old, ""), (&new, "far")]);
+    let call = post("c1", &format!("Wants: m\r\nAfter-Event: 2\r\n{resumed}"));
+    assert_eq!(status(&entry.call(&call).await), "503");
+    assert_eq!(
+        [old.resumed(), new.resumed()].concat(),
+        Vec::<String>::new()
+    );
+    let id: EndpointId = "e1".parse().expect("the name is valid");
+    let removed = FeedEvent::Changes(vec![RegistryEvent::Removed(id)]);
+    entry.core.apply_registry(removed);
+    assert_eq!(
+        status(&entry.call(&call).await),
+        "503",
+        "a version that was just removed may have begun it"
+    );
+}
+
+#[tokio::test]
+async fn a_stream_of_unknown_origin_goes_on_where_all_engines_have_one_version() {
+    let engine = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Held).await;
+    let entry = serving(&[(&engine, "")]);
+    let answer = entry.call(&take_up("c1", "c0")).await;
+    assert_eq!(status(&answer), "200");
+    assert_eq!(versions(&answer), ["v1"]);
+}
+
+/// Returns the versions that the events of an answer state.
+fn versions(answer: &str) -> Vec<String> {
+    let data = answer
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    let versions = data.filter(|text| text.starts_with('v'));
+    versions.map(str::to_owned).collect()
+}
+
+/// Entries and agents on loopback, and engines of two versions on the agents' VMs.
+struct MixedFleet {
+    engines: Vec<VersionedEngine>,
+    agents: Vec<Option<ServerHandle>>,
+    agent_port: u16,
+}
+
+/// The data centres of the VMs of engines, the first of them that of the entries.
+const DATA_CENTRES: [&str; 3] = ["", "far", "off"];
+
+impl MixedFleet {
+    async fn spawn(network: &str, vms: usize) -> Self {
+        let probe = TcpListener::bind((format!("{network}.1"), 0))
+            .await
+            .expect("loopback has a free port");
+        let agent_port = probe
+            .local_addr()
+            .expect("the listener has an address")
+            .port();
+        drop(probe);
+        let (mut engines, mut agents) = (Vec::new(), Vec::new());
+        for index in 0..vms {
+            let vm = format!("{network}.{}", index + 1);
+            let software = if index % 2 == 0 { "v1" } else { "v1.1" };
+            engines.push(VersionedEngine::bind(&vm, software, Beginning::Held).await);
+            let reader = StoreReader::new(ReaderOptions {
+                incarnation: 1,
+                config_bound: Duration::from_secs(2),
+                drain_bound: Duration::from_secs(2),
+            });
+            let address = format!("{vm}:{agent_port}")
+                .parse()
+                .expect("the address is valid");
+            let agent = agent::bind(Arc::new(AgentCore::default()), Arc::new(reader), address)
+                .await
+                .expect("the port is free");
+            agents.push(Some(agent));
+        }
+        Self {
+            engines,
+            agents,
+            agent_port,
+        }
+    }
+
+    fn entry(&self) -> TestEntry {
+        let entry = TestEntry::bind_with_agent_port(self.agent_port);
+        entry.configure(1, vec![route(RouteKind::Stream, true, 2)]);
+        let engines = self.engines.iter().enumerate();
+        let engines = engines.map(|(index, engine)| (engine, DATA_CENTRES[index % 3]));
+        announce(&entry, &engines.collect::<Vec<_>>());
+        entry
+    }
+}
+
+/// Begins a stream at an entry and returns the version that began it. The caller's connection is left
+/// open.
+async fn begin_stream(entry: &TestEntry, id: &str) -> (TcpStream, String) {
+    let mut caller = entry.connect().await;
+    let call = post(id, "Wants: m\r\n");
+    caller
+        .write_all(call.as_bytes())
+        .await
+        .expect("the request is written");
+    let text = read_until(&mut caller, EVENT_END).await;
+    let version = versions(&text).pop().expect("an event states the version");
+    (caller, version)
+}
+
+/// Takes streams up again at another entry. Returns how many of them went on.
+async fn take_up_all(entry: &TestEntry, begun: &[(String, String)]) -> usize {
+    let mut went_on = 0;
+    for (id, version) in begun {
+        let answer = entry.call(&take_up(&format!("again-{id}"), id)).await;
+        for other in versions(&answer) {
+            assert_eq!(other, *version, "stream {id} goes on at another version");
+        }
+        went_on += usize::from(status(&answer) == "200");
+    }
+    went_on
+}
+
+#[tokio::test]
+async fn a_stream_that_its_caller_takes_up_at_another_entry_goes_on_at_its_software_version() {
+    let fleet = MixedFleet::spawn("127.0.1", 6).await;
+    let entries: Vec<TestEntry> = (0..5).map(|_| fleet.entry()).collect();
+    let (mut begun, mut callers) = (Vec::new(), Vec::new());
+    for number in 0..30 {
+        let id = format!("s{number}");
+        let (caller, version) = begin_stream(&entries[number % 5], &id).await;
+        callers.push(caller);
+        begun.push((id, version));
+    }
+    let is_mixed = begun.iter().any(|(_, version)| *version != begun[0].1);
+    assert!(is_mixed, "streams begin at both versions");
+    sleep(SPREAD_TIME).await;
+    drop(entries);
+    let joined = fleet.entry();
+    assert_eq!(take_up_all(&joined, &begun).await, begun.len());
+}
+
+#[tokio::test]
+async fn streams_go_on_at_their_software_version_although_agents_are_lost() {
+    let mut fleet = MixedFleet::spawn("127.0.2", 6).await;
+    let entry = fleet.entry();
+    let (mut begun, mut callers) = (Vec::new(), Vec::new());
+    for number in 0..10 {
+        let id = format!("s{number}");
+        let (caller, version) = begin_stream(&entry, &id).await;
+        callers.push(caller);
+        begun.push((id, version));
+    }
+    sleep(SPREAD_TIME).await;
+    drop(entry);
+    fleet.agents[0] = None;
+    let joined = fleet.entry();
+    assert_eq!(take_up_all(&joined, &begun).await, begun.len());
+    fleet.agents.clear();
+    let isolated = fleet.entry();
+    assert_eq!(take_up_all(&isolated, &begun).await, 0);
+}
