Let streams go on only at the software version that began them

Cause: what a stream is bound to was forgotten between its sends. An entry chose the engine for the rest of a broken answer by model, adapter and load, and an entry at which a caller took its stream up knew nothing of the first send. Ruled out: an engine that changes under a running stream (each send names its incarnation).

Selections of a call that goes on with a stream are bound to a software version now: that of the engine that sent the first event, within an answer and in retries, waits and loads. An entry that begins a resumable stream tells two agents of it, which all entries rank alike, and an entry that does not know the origin of a stream asks four. Where it stays unknown, the call is refused unless the service had one version only within two minutes. Nothing depends on the store.

--- a/crates/amaranth-dispatch/src/endpoint_table.rs
+++ b/crates/amaranth-dispatch/src/endpoint_table.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Returns whether the endpoint has a software version, if one is required.
+    pub fn has_software(&self, required: Option<&SoftwareVersion>) -> bool {
+        required.is_none_or(|software| self.record.software == *software)
+    }
+
     /// Returns the number of this entry's calls in flight.
     pub const fn calls(&self) -> u32 {
         self.calls
--- a/crates/amaranth-dispatch/src/engine_selector.rs
+++ b/crates/amaranth-dispatch/src/engine_selector.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use amaranth_core::digest::hash64;
-use amaranth_core::ids::{EndpointId, ServiceName};
+use amaranth_core::ids::{EndpointId, ServiceName, SoftwareVersion};
 use amaranth_core::time::Timestamp;
 use strum::Display;
 
@@ -121,6 +121,8 @@
     pub version: Option<u64>,
     /// The endpoints that failed the call.
     pub excluded: &'a [EndpointId],
+    /// The only software version at which the call may run, if it goes on with a stream.
+    pub software: Option<&'a SoftwareVersion>,
     /// The time within which a first token is on time.
     pub objective: Duration,
     /// The time that the call has spent already.
@@ -148,6 +150,7 @@
     let mut ranked: Vec<(u64, &EndpointState)> = table
         .of_service(query.service)
         .filter(|state| state.may_be_selected(now) && !query.excluded.contains(&state.record.id))
+        .filter(|state| state.has_software(query.software))
         .filter(|state| state.calls() < query.max_calls)
         .map(|state| (hash64(key, state.record.id.as_str().as_bytes()), state))
         .collect();
--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod slot_queue;
 pub mod stop_policy;
 pub mod store_table;
+pub mod stream_origins;
 pub mod version_table;
--- a/crates/amaranth-dispatch/src/refusal.rs
+++ b/crates/amaranth-dispatch/src/refusal.rs
@@ -30,6 +30,8 @@
     Quarantined,
     /// The endpoints would not answer before the caller's deadline.
     Overloaded,
+    /// The call takes up a stream, and it is not known which software version began it.
+    UnknownOrigin,
     /// Every endpoint that was tried refused without running the call.
     EndpointsRefused,
     /// The call was sent, and its outcome is not known.
@@ -53,6 +55,7 @@
             | Self::EndpointsPaused
             | Self::Quarantined
             | Self::Overloaded
+            | Self::UnknownOrigin
             | Self::EndpointsRefused => 503,
             Self::OutcomeUnknown => 502,
             Self::TimedOut => 504,
--- a/crates/amaranth-dispatch/src/service_selector.rs
+++ b/crates/amaranth-dispatch/src/service_selector.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use amaranth_core::ids::{EndpointId, ServiceName};
+use amaranth_core::ids::{EndpointId, ServiceName, SoftwareVersion};
 use amaranth_core::time::Timestamp;
 
 use crate::endpoint_table::{EndpointState, EndpointTable};
@@ -35,6 +35,8 @@
     pub service: &'a ServiceName,
     /// The endpoints that failed the call.
     pub excluded: &'a [EndpointId],
+    /// The only software version at which the call may run, if it goes on with a stream.
+    pub software: Option<&'a SoftwareVersion>,
     /// The largest number of calls that the entry may have at one endpoint.
     pub max_calls: u32,
 }
@@ -49,6 +51,7 @@
     table
         .of_service(query.service)
         .filter(|state| state.may_be_selected(now) && !query.excluded.contains(&state.record.id))
+        .filter(|state| state.has_software(query.software))
         .filter(|state| state.calls() < query.max_calls)
         .filter(|state| utilization(state) < FULL_UTILIZATION)
         .map(|state| (cost(now, state, locality), state))
@@ -56,9 +59,15 @@
         .map(|(_, state)| state.record.id.clone())
 }
 
-/// Returns whether a service has an endpoint that accepts calls when it is less busy.
-pub fn has_endpoint(table: &EndpointTable, service: &ServiceName) -> bool {
-    table.of_service(service).any(EndpointState::is_accepting)
+/// Returns whether a service has an endpoint that accepts calls when it is less busy, of one software
+/// version if it is given.
+pub fn has_endpoint(
+    table: &EndpointTable,
+    service: &ServiceName,
+    software: Option<&SoftwareVersion>,
+) -> bool {
+    let mut endpoints = table.of_service(service);
+    endpoints.any(|state| state.is_accepting() && state.has_software(software))
 }
 
 fn utilization(state: &EndpointState) -> f64 {
--- a/crates/amaranth-dispatch/tests/engine_selector.rs
+++ b/crates/amaranth-dispatch/tests/engine_selector.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use amaranth_core::ids::SoftwareVersion;
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::call::GenerationNeed;
 use amaranth_dispatch::endpoint_table::{AgentFailure, EndpointOutcome, EndpointTable};
@@ -31,6 +32,15 @@
     table: &EndpointTable,
     need: &GenerationNeed,
     version: Option<u64>,
+) -> Option<EngineChoice> {
+    select_of(table, need, version, None)
+}
+
+fn select_of(
+    table: &EndpointTable,
+    need: &GenerationNeed,
+    version: Option<u64>,
+    software: Option<&SoftwareVersion>,
 ) -> Option<EngineChoice> {
     let rule = engine_rule();
     let query = EngineQuery {
@@ -39,6 +49,7 @@
         need,
         version,
         excluded: &[],
+        software,
         objective: OBJECTIVE,
         spent: Duration::ZERO,
         load_wait: Duration::ZERO,
@@ -388,3 +399,18 @@
         "late: {late}, late at a single engine: {late_at_one}"
     );
 }
+
+#[test]
+fn a_call_that_goes_on_is_sent_to_its_software_version_although_others_hold_its_adapter() {
+    let mut table = table(&[("e1", "a1", &["x"]), ("e2", "a1", &["x"])]);
+    let mut other = engine("e3", "b1", &[]);
+    other.software = "v2".parse().expect("any text is a version");
+    let software = other.software.clone();
+    announce(&mut table, other);
+    table.record_view(NOW, &name("e3"), view(&[]));
+    let choice = select_of(&table, &need("x"), None, Some(&software));
+    let choice = choice.expect("the engine loads the adapter");
+    assert_eq!(choice.endpoint, name("e3"));
+    let gone = "v3".parse().expect("any text is a version");
+    assert_eq!(select_of(&table, &need("x"), None, Some(&gone)), None);
+}
--- a/crates/amaranth-dispatch/tests/service_selector.rs
+++ b/crates/amaranth-dispatch/tests/service_selector.rs
@@ -36,6 +36,7 @@
     let query = ServiceQuery {
         service: &name("desk"),
         excluded: &[],
+        software: None,
         max_calls,
     };
     service_selector::select(NOW, table, &locality(), query).map(|id| id.to_string())
@@ -82,7 +83,7 @@
         table.begin_call(&name("only"), None);
     }
     assert_eq!(select(&table), None);
-    assert!(service_selector::has_endpoint(&table, &name("desk")));
+    assert!(service_selector::has_endpoint(&table, &name("desk"), None));
 }
 
 #[test]
@@ -95,3 +96,31 @@
     }
     assert_eq!(calls, 9, "three calls at each of three endpoints");
 }
+
+#[test]
+fn a_call_that_goes_on_is_sent_to_its_software_version_although_others_are_nearer() {
+    let mut table = table();
+    let mut other = plain_endpoint("other", "b1");
+    other.software = "v2".parse().expect("any text is a version");
+    let software = other.software.clone();
+    announce(&mut table, other);
+    let select = |software| {
+        let query = ServiceQuery {
+            service: &name("desk"),
+            excluded: &[],
+            software: Some(software),
+            max_calls: 100,
+        };
+        service_selector::select(NOW, &table, &locality(), query)
+    };
+    let selected = select(&software);
+    assert_eq!(selected, Some(name("other")));
+    let gone = "v3".parse().expect("any text is a version");
+    assert!(!service_selector::has_endpoint(
+        &table,
+        &name("desk"),
+        Some(&gone)
+    ));
+    let selected = select(&gone);
+    assert_eq!(selected, None);
+}
--- a/crates/amaranth-relay/src/agent.rs
+++ b/crates/amaranth-relay/src/agent.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranth_core::ids::EndpointId;
+use amaranth_core::ids::{EndpointId, SoftwareVersion};
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::adapter_manager::{
     AdapterManager, GuardedOrder, LoadRequestId, OrderAnswer,
@@ -15,6 +15,7 @@
 use amaranth_dispatch::engine_view::{
     EngineContents, EngineView, LoadOutcome, LoadRequest, UsageReport,
 };
+use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin, StreamOrigins};
 use amaranth_wire::engine_agent::{EngineAgentRpc, TableCursors, TableUpdates};
 use amaranth_wire::transport::{self, ServerHandle};
 use futures::StreamExt;
@@ -32,6 +33,7 @@
     clock: SuspendClock,
     manager: Mutex<AdapterManager>,
     limiter: Mutex<CallLimiter>,
+    origins: Mutex<StreamOrigins>,
     waiters: Mutex<HashMap<LoadRequestId, oneshot::Sender<LoadOutcome>>>,
     changed: Notify,
     requested: Notify,
@@ -43,6 +45,7 @@
             clock: SuspendClock::start(),
             manager: Mutex::default(),
             limiter: Mutex::default(),
+            origins: Mutex::default(),
             waiters: Mutex::default(),
             changed: Notify::new(),
             requested: Notify::new(),
@@ -138,6 +141,23 @@
         limiter.acquire(now, endpoint, rate)
     }
 
+    fn origins(&self) -> MutexGuard<'_, StreamOrigins> {
+        self.origins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn record_origins(&self, origins: Vec<StreamOrigin>) {
+        let now = self.now();
+        let mut known = self.origins();
+        for origin in origins {
+            known.record(now, origin);
+        }
+    }
+
+    fn find_origin(&self, stream: StreamKey) -> Option<SoftwareVersion> {
+        let now = self.now();
+        self.origins().find(now, stream)
+    }
+
     async fn exchange(&self, usage: UsageReport, seen: u64, wait: Duration) -> EngineView {
         let now = self.now();
         let changed = self.changed.notified();
@@ -241,6 +261,14 @@
     ) -> TableUpdates {
         self.reader.updates(cursors, wait).await
     }
+
+    async fn record_origins(self, _context: Context, origins: Vec<StreamOrigin>) {
+        self.core.record_origins(origins);
+    }
+
+    async fn find_origin(self, _context: Context, stream: StreamKey) -> Option<SoftwareVersion> {
+        self.core.find_origin(stream)
+    }
 }
 
 /// Starts serving entries at `address`.
--- a/crates/amaranth-relay/src/agent_link.rs
+++ b/crates/amaranth-relay/src/agent_link.rs
@@ -6,10 +6,11 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use amaranth_core::ids::EndpointId;
+use amaranth_core::ids::{EndpointId, SoftwareVersion};
 use amaranth_dispatch::call_limiter::{CallPermit, CallRate};
 use amaranth_dispatch::endpoint_table::AgentFailure;
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest, UsageReport};
+use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin};
 use amaranth_wire::engine_agent::{self, EngineAgentRpcClient, TableCursors, TableUpdates};
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -105,6 +106,38 @@
         answer.map_err(|error| self.record_failure(address, &error))
     }
 
+    /// Tells an agent of the software versions at which streams began.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the agent can't be reached in time.
+    pub async fn record_origins(
+        &self,
+        address: SocketAddr,
+        origins: Vec<StreamOrigin>,
+    ) -> Result<(), AgentError> {
+        let client = self.client(address).await?;
+        let answer = client
+            .record_origins(context(Duration::ZERO), origins)
+            .await;
+        answer.map_err(|error| self.record_failure(address, &error))
+    }
+
+    /// Asks an agent for the software version at which a stream began.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the agent can't be reached in time.
+    pub async fn find_origin(
+        &self,
+        address: SocketAddr,
+        stream: StreamKey,
+    ) -> Result<Option<SoftwareVersion>, AgentError> {
+        let client = self.client(address).await?;
+        let answer = client.find_origin(context(Duration::ZERO), stream).await;
+        answer.map_err(|error| self.record_failure(address, &error))
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<EngineAgentRpcClient, AgentError> {
         let existing = self.lock().get(&address).cloned();
         if let Some(client) = existing {
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -18,6 +18,7 @@
 use crate::endpoint_selection::{DEFAULT_RETRY_AFTER, UNCONFIGURED_RETRY_AFTER, select};
 use crate::endpoint_send::{MIN_TIME_LEFT, collect, send};
 use crate::entry::EntryCore;
+use crate::origin_exchange::required_software;
 use crate::routed_call::{RoutedCall, request_digest};
 use crate::stream_relay::{self, StreamSource};
 
@@ -145,8 +146,12 @@
     let mut history = AttemptHistory::default();
     let mut record = CallRecord::new(&core, &call);
     let mut last_failure: Option<Response<Bytes>> = None;
+    let software = match required_software(&core, &call).await {
+        Ok(software) => software,
+        Err(refusal) => return record.refuse(refusal, &history, None),
+    };
     loop {
-        let selected = match select(&core, &call, &history).await {
+        let selected = match select(&core, &call, &history, software.as_ref()).await {
             Ok(selected) => selected,
             Err(refusal) => return record.refuse(refusal, &history, last_failure),
         };
--- a/crates/amaranth-relay/src/endpoint_selection.rs
+++ b/crates/amaranth-relay/src/endpoint_selection.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_core::ids::{EndpointId, ServiceName};
+use amaranth_core::ids::{EndpointId, ServiceName, SoftwareVersion};
 use amaranth_dispatch::attempts::AttemptHistory;
 use amaranth_dispatch::call::GenerationNeed;
 use amaranth_dispatch::call_limiter::{self, CallPermit, CallRate};
@@ -60,7 +60,8 @@
     pub adapter_version: Option<u64>,
 }
 
-/// Selects an endpoint, and waits until an engine holds the adapter.
+/// Selects an endpoint, and waits until an engine holds the adapter. A call that goes on with a stream
+/// is sent to endpoints of one software version only.
 ///
 /// # Errors
 ///
@@ -69,13 +70,26 @@
     core: &Arc<EntryCore>,
     call: &RoutedCall,
     history: &AttemptHistory,
+    software: Option<&SoftwareVersion>,
 ) -> Result<SelectedEndpoint, Refusal> {
     if let Some(refusal) = quarantine_refusal(core, call) {
         return Err(refusal);
     }
+    if software.is_some()
+        && !service_selector::has_endpoint(&core.state().endpoints, &call.service, software)
+    {
+        return Err(Refusal::new(RefusalCause::NoEndpoint));
+    }
     match (&call.need, &call.engine) {
-        (Some(need), Some(engine)) => select_engine(core, call, history, need, engine).await,
-        _ => select_service(core, call, history).await,
+        (Some(need), Some(engine)) => {
+            let query = PendingQuery {
+                need,
+                engine,
+                software,
+            };
+            select_engine(core, call, history, query).await
+        }
+        _ => select_service(core, call, history, software).await,
     }
 }
 
@@ -83,9 +97,10 @@
     core: &Arc<EntryCore>,
     call: &RoutedCall,
     history: &AttemptHistory,
+    software: Option<&SoftwareVersion>,
 ) -> Result<SelectedEndpoint, Refusal> {
     for _ in 0..MAX_DENIALS {
-        let selected = select_service_now(core, call, history)?;
+        let selected = select_service_now(core, call, history, software)?;
         if acquire_permit(core, call, selected.guard.endpoint()).await {
             return Ok(selected);
         }
@@ -97,6 +112,7 @@
     core: &Arc<EntryCore>,
     call: &RoutedCall,
     history: &AttemptHistory,
+    software: Option<&SoftwareVersion>,
 ) -> Result<SelectedEndpoint, Refusal> {
     if let Some(refusal) = paused_refusal(core, &call.service) {
         return Err(refusal);
@@ -107,13 +123,14 @@
     let query = |excluded| ServiceQuery {
         service: &call.service,
         excluded,
+        software,
         max_calls: call.max_calls,
     };
     let selected =
         service_selector::select(now, &state.endpoints, locality, query(history.tried()))
             .or_else(|| service_selector::select(now, &state.endpoints, locality, query(&[])));
     let Some(endpoint) = selected else {
-        let known = service_selector::has_endpoint(&state.endpoints, &call.service);
+        let known = service_selector::has_endpoint(&state.endpoints, &call.service, software);
         let refusal = if known {
             let permit_wait = state.endpoints.permit_wait(now, &call.service);
             let delay = permit_wait.unwrap_or(service_selector::FULL_RETRY_AFTER);
@@ -144,18 +161,26 @@
     })
 }
 
+/// What a call requires of an engine.
+#[derive(Debug, Clone, Copy)]
+struct PendingQuery<'a> {
+    need: &'a Arc<GenerationNeed>,
+    engine: &'a EngineRule,
+    software: Option<&'a SoftwareVersion>,
+}
+
 async fn select_engine(
     core: &Arc<EntryCore>,
     call: &RoutedCall,
     history: &AttemptHistory,
-    need: &Arc<GenerationNeed>,
-    engine: &EngineRule,
+    query: PendingQuery<'_>,
 ) -> Result<SelectedEndpoint, Refusal> {
+    let PendingQuery { need, engine, .. } = query;
     let mut outcome = LoadOutcome::Unavailable;
     let mut excluded: SmallVec<[EndpointId; 4]> = history.tried().iter().cloned().collect();
     let (mut selections, mut denials) = (0, 0);
     while selections < MAX_SELECTIONS {
-        let selected = select_queued(core, call, need, engine, &excluded).await?;
+        let selected = select_queued(core, call, query, &excluded).await?;
         let SelectedEngine {
             choice,
             address,
@@ -358,15 +383,14 @@
 async fn select_queued(
     core: &Arc<EntryCore>,
     call: &RoutedCall,
-    need: &GenerationNeed,
-    engine: &EngineRule,
+    query: PendingQuery<'_>,
     excluded: &[EndpointId],
 ) -> Result<SelectedEngine, Refusal> {
     if let Some(refusal) = paused_refusal(core, &call.service) {
         return Err(refusal);
     }
     let must_wait = core.state().slot_queue.must_wait(call.route.priority);
-    if !must_wait && let Some(selected) = select_now(core, call, need, engine, excluded) {
+    if !must_wait && let Some(selected) = select_now(core, call, query, excluded) {
         return Ok(selected);
     }
     let longest_wait = slot_queue::max_wait(call.route.objective, false);
@@ -386,7 +410,7 @@
             let is_loading = core
                 .state()
                 .endpoints
-                .is_loading_model(&call.service, &need.model);
+                .is_loading_model(&call.service, &query.need.model);
             until = wait_until(is_loading);
             if Instant::now() >= until {
                 break;
@@ -402,7 +426,7 @@
         if let Some(refusal) = quarantine_refusal(core, call) {
             return Err(refusal);
         }
-        if let Some(selected) = select_now(core, call, need, engine, excluded) {
+        if let Some(selected) = select_now(core, call, query, excluded) {
             return Ok(selected);
         }
     }
@@ -421,10 +445,14 @@
 fn select_now(
     core: &EntryCore,
     call: &RoutedCall,
-    need: &GenerationNeed,
-    engine: &EngineRule,
+    query: PendingQuery<'_>,
     excluded: &[EndpointId],
 ) -> Option<SelectedEngine> {
+    let PendingQuery {
+        need,
+        engine,
+        software,
+    } = query;
     let now = core.now();
     let state = core.state();
     let version = need
@@ -437,6 +465,7 @@
         need,
         version,
         excluded,
+        software,
         objective: call.route.objective,
         spent: call.arrived.elapsed(),
         load_wait: state.load_limiter.expected_wait(),
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -86,6 +86,8 @@
         Some("quarantined")
     } else if !may_get_calls(core, guard.endpoint()) {
         Some("endpoint-left-alone")
+    } else if guard.has_other_software() {
+        Some("endpoint-restarted")
     } else {
         None
     };
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -23,6 +23,7 @@
 use amaranth_dispatch::slot_queue::SlotQueue;
 use amaranth_dispatch::stop_policy::StopPolicy;
 use amaranth_dispatch::store_table::TableFreshness;
+use amaranth_dispatch::stream_origins::SoftwareHistory;
 use amaranth_dispatch::version_table::VersionTable;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::timeout;
@@ -33,6 +34,7 @@
 use crate::endpoint_pool::EndpointPool;
 use crate::entry_stage::{EntryStage, StageCell};
 use crate::feed::FeedEvent;
+use crate::origin_exchange::OriginExchange;
 use crate::shared_loads::{LoadKey, SharedLoads};
 use crate::suspend_clock::SuspendClock;
 
@@ -101,8 +103,10 @@
     pub load_limiter: LoadLimiter,
     /// The calls that wait for a slot at an engine.
     pub slot_queue: SlotQueue,
-    /// The prompt parts that crash engines.
+    /// The calls that crash endpoints.
     pub quarantine: CallQuarantine,
+    /// The software versions of each service.
+    pub software: SoftwareHistory,
     /// The policy for accepting calls after a stop request.
     pub stop_policy: Option<StopPolicy>,
     /// How recent the known configuration is.
@@ -114,6 +118,13 @@
 }
 
 impl EntryState {
+    /// Records the software versions that are listed at `now`.
+    fn record_software(&mut self, now: Timestamp) {
+        let records = self.endpoints.iter().map(|endpoint| &endpoint.record);
+        let listed = records.map(|record| (&record.service, &record.software));
+        self.software.record(now, listed);
+    }
+
     fn grant_permits(&mut self) {
         while let Some(ticket) = self.load_limiter.try_start() {
             if let Some(permit) = self.permits.remove(&ticket) {
@@ -149,6 +160,8 @@
     pub loads: SharedLoads,
     /// The calls that may have crashed their engines.
     pub crashes: CrashWatch,
+    /// The origins of streams.
+    pub origins: OriginExchange,
     /// Wakes the publication of the findings of `quarantine`.
     pub findings_changed: Notify,
     /// The stage of the process, which readiness checks report.
@@ -181,6 +194,7 @@
             agents: AgentLinks::default(),
             loads: SharedLoads::default(),
             crashes: CrashWatch::default(),
+            origins: OriginExchange::default(),
             findings_changed: Notify::new(),
             stage: StageCell::default(),
             clock: SuspendClock::start(),
@@ -194,6 +208,7 @@
                 load_limiter: LoadLimiter::default(),
                 slot_queue: SlotQueue::default(),
                 quarantine: CallQuarantine::default(),
+                software: SoftwareHistory::default(),
                 stop_policy: None,
                 config_freshness: TableFreshness::default(),
                 registry_freshness: TableFreshness::default(),
@@ -358,6 +373,7 @@
     pub fn apply_registry(&self, event: FeedEvent<RegistryEvent>) {
         let now = self.now();
         let mut state = self.state();
+        state.record_software(now);
         let changes = match event {
             FeedEvent::Snapshot(events) => {
                 state.registry_known = true;
@@ -366,6 +382,7 @@
             FeedEvent::Restored(events) => state.endpoints.restore(now, announced(events)),
             FeedEvent::Changes(events) => apply_changes(&mut state.endpoints, now, events),
         };
+        state.record_software(now);
         drop(state);
         for (id, change) in changes {
             if change != EndpointChange::Unchanged {
--- a/crates/amaranth-relay/src/entry_tasks.rs
+++ b/crates/amaranth-relay/src/entry_tasks.rs
@@ -13,6 +13,7 @@
 
 use crate::entry::{ConfigRecord, EntryCore, LoadOptions};
 use crate::feed::{self, FeedOptions, FeedSource};
+use crate::origin_exchange;
 use crate::shared_loads::LoadKey;
 use crate::table_relay::{self, DirectObserver, MAX_AGE_FRACTION, TableDecoders};
 
@@ -93,6 +94,7 @@
         tokio::spawn(run_housekeeping(Arc::clone(core))),
         tokio::spawn(watch_engines(Arc::clone(core))),
         tokio::spawn(announce_usages(Arc::clone(core))),
+        tokio::spawn(origin_exchange::publish_origins(Arc::clone(core))),
     ];
     EntryTasks { tasks }
 }
--- a/crates/amaranth-relay/src/send_guard.rs
+++ b/crates/amaranth-relay/src/send_guard.rs
@@ -93,6 +93,13 @@
         &self.software
     }
 
+    /// Returns whether the endpoint has another software version since it was selected.
+    pub fn has_other_software(&self) -> bool {
+        let state = self.core.state();
+        let known = state.endpoints.get(&self.endpoint);
+        known.is_some_and(|known| known.record.software != self.software)
+    }
+
     /// Records that the prompt is sent to the engine now.
     pub fn record_prompt_sent(&mut self) {
         let Some(need) = self.need.clone() else {
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use amaranth_core::ids::SoftwareVersion;
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
 use amaranth_dispatch::call::CallId;
 use amaranth_dispatch::endpoint_table::EndpointOutcome;
@@ -20,6 +21,7 @@
 use crate::endpoint_send::{FailedSend, OpenAnswer, send};
 use crate::entry::EntryCore;
 use crate::event_splitter::{EventBatch, EventSplitter};
+use crate::origin_exchange::record_origin;
 use crate::routed_call::{AnswerPosition, RoutedCall};
 use crate::send_guard::{FirstTokenPrediction, SendGuard};
 use crate::silence_watch::{SilenceStep, SilenceWatch, next_poll};
@@ -193,12 +195,17 @@
     *response.headers_mut() = core.codec.answer_headers(&source.head.headers);
     *response.extensions_mut() = source.head.extensions.clone();
     let prediction = source.guard.prediction();
+    let software = source.guard.software().clone();
+    if call.route.may_resume() && !ended {
+        record_origin(core, &call.head.id, &software);
+    }
     let mut relay = StreamRelay {
         core: Arc::clone(core),
         call: Arc::clone(call),
         source: Some(source),
         history: history.clone(),
         position: call.start_position(),
+        software,
         events: 0,
         first_event_delay: call.arrived.elapsed(),
         prediction,
@@ -244,6 +251,8 @@
     source: Option<StreamSource>,
     history: AttemptHistory,
     position: AnswerPosition,
+    /// The version at which the stream began, which is that of each engine at which it goes on.
+    software: SoftwareVersion,
     events: u32,
     first_event_delay: Duration,
     prediction: Option<FirstTokenPrediction>,
@@ -308,11 +317,11 @@
         };
         broken.guard.set_outcome(EndpointOutcome::Failed);
         let mut endpoint = broken.guard.endpoint().clone();
-        let software = broken.guard.software().clone();
         drop(broken);
         log::info!(
-            "event=stream_broken id={} endpoint={endpoint} software={software} events={} last_event={} request={} parts={} reason={reason:?}",
+            "event=stream_broken id={} endpoint={endpoint} software={} events={} last_event={} request={} parts={} reason={reason:?}",
             self.call.head.id,
+            self.software,
             self.events,
             self.position.last_event.unwrap_or(0),
             self.call.digest,
@@ -328,7 +337,8 @@
             if step != NextStep::SendAgain || Instant::now() >= self.call.deadline {
                 return Err(AnswerBroken(reason));
             }
-            let selected = select(&self.core, &self.call, &self.history)
+            let software = Some(&self.software);
+            let selected = select(&self.core, &self.call, &self.history, software)
                 .await
                 .map_err(|refusal| AnswerBroken(format!("{reason}; {}", refusal.cause)))?;
             endpoint = selected.guard.endpoint().clone();
--- a/crates/amaranth-relay/tests/relay/software_versions.rs
+++ b/crates/amaranth-relay/tests/relay/software_versions.rs
@@ -10,6 +10,7 @@
 use amaranth_dispatch::routes::RouteKind;
 use amaranth_relay::agent::{self, AgentCore};
 use amaranth_relay::feed::FeedEvent;
+use amaranth_relay::origin_exchange::publish_origins;
 use amaranth_relay::store_reader::{ReaderOptions, StoreReader};
 use amaranth_wire::transport::ServerHandle;
 use rstest::rstest;
@@ -19,8 +20,8 @@
 use tokio::time::sleep;
 
 use crate::support::{
-    LAST_CHUNK, TestEntry, chunk, event, header, post, read_request, read_to_end, read_until,
-    record, route, status, stream_head,
+    FakeEndpoint, LAST_CHUNK, Reply, TestEntry, chunk, event, header, not_run, post, read_request,
+    read_to_end, read_until, record, route, status, stream_head,
 };
 
 /// Time for which an entry may take to tell others of a stream.
@@ -268,6 +269,7 @@
         let engines = self.engines.iter().enumerate();
         let engines = engines.map(|(index, engine)| (engine, DATA_CENTRES[index % 3]));
         announce(&entry, &engines.collect::<Vec<_>>());
+        tokio::spawn(publish_origins(Arc::clone(&entry.core)));
         entry
     }
 }
@@ -318,6 +320,40 @@
     assert_eq!(take_up_all(&joined, &begun).await, begun.len());
 }
 
+#[tokio::test]
+async fn a_stream_that_was_taken_up_is_known_by_each_of_its_calls() {
+    let fleet = MixedFleet::spawn("127.0.3", 4).await;
+    let (first, second) = (fleet.entry(), fleet.entry());
+    let (_caller, version) = begin_stream(&first, "s").await;
+    sleep(SPREAD_TIME).await;
+    let again = second.call(&take_up("again", "s")).await;
+    assert_eq!(versions(&again), [version.as_str()]);
+    drop((first, second));
+    sleep(SPREAD_TIME).await;
+    let third = fleet.entry().call(&take_up("third", "again")).await;
+    assert_eq!(versions(&third), [version.as_str()]);
+}
+
+#[tokio::test]
+async fn a_taken_up_stream_that_its_engine_refuses_is_retried_at_its_software_version_only() {
+    let fleet = MixedFleet::spawn("127.0.4", 4).await;
+    let entry = fleet.entry();
+    let (_caller, version) = begin_stream(&entry, "s").await;
+    let engines = fleet.engines.iter().enumerate();
+    let mut same = engines.filter(|(_, engine)| engine.software == version);
+    let (index, _) = same.next().expect("an engine has the version");
+    let refusing = FakeEndpoint::bind(vec![Reply::Write(not_run())]).await;
+    let mut record = record(index, refusing.address, DATA_CENTRES[0]);
+    record.software = version.parse().expect("any text is a version");
+    record.sequence = 2;
+    let announced = RegistryEvent::Announced(Box::new(record));
+    entry
+        .core
+        .apply_registry(FeedEvent::Changes(vec![announced]));
+    let again = entry.call(&take_up("again", "s")).await;
+    assert_eq!(versions(&again), [version.as_str()], "{again}");
+}
+
 #[tokio::test]
 async fn streams_go_on_at_their_software_version_although_agents_are_lost() {
     let mut fleet = MixedFleet::spawn("127.0.2", 6).await;
--- a/crates/amaranth-wire/src/engine_agent.rs
+++ b/crates/amaranth-wire/src/engine_agent.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranth_core::ids::EndpointId;
+use amaranth_core::ids::{EndpointId, SoftwareVersion};
 use amaranth_dispatch::call_limiter::{CallPermit, CallRate};
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest, UsageReport};
 use amaranth_dispatch::store_table::{TableCursor, TableUpdate};
+use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin};
 use serde::{Deserialize, Serialize};
 
 use crate::transport;
@@ -47,6 +48,12 @@
     /// Returns what an entry lacks of the store's tables, as soon as there is something or `wait` is
     /// over.
     async fn read_tables(cursors: TableCursors, wait: Duration) -> TableUpdates;
+
+    /// Records the software versions at which streams began.
+    async fn record_origins(origins: Vec<StreamOrigin>);
+
+    /// Returns the software version at which a stream began, if the agent knows it.
+    async fn find_origin(stream: StreamKey) -> Option<SoftwareVersion>;
 }
 
 /// Connects to an agent within `timeout` and spawns its client.
