Count a reader's answer as recent also when the entry has newer records already

Cause: after a read of its own, an entry takes no update that is older than this read, and such an update did not count as a sign that the reader is recent either. Such an update shows that the entry has at least what the reader had read, so it counts now; one of an earlier era still does not.

--- a/crates/amaranth-dispatch/src/store_table.rs
+++ b/crates/amaranth-dispatch/src/store_table.rs
@@ -259,14 +259,19 @@
         let read_at = signed_micros(asked_at).saturating_add(update.read_offset_us);
         let read_at = Timestamp::from_micros(u64::try_from(read_at).unwrap_or(0));
         self.offered_as_of = Some(read_at);
+        if update.era < self.era {
+            return false;
+        }
+        // Whether the update is applied or older than what the entry has, the entry knows at least what
+        // the reader had read.
+        self.relayed_as_of = Some(read_at);
         let source = Some(TableSource::Reader(update.cursor.reader));
         let is_older = self.as_of.is_some_and(|known| read_at < known);
-        if update.era < self.era || (is_older && self.source != source) {
+        if is_older && self.source != source {
             return false;
         }
         self.era = update.era;
         self.as_of = self.as_of.max(Some(read_at));
-        self.relayed_as_of = Some(read_at);
         self.source = source;
         true
     }
--- a/crates/amaranth-dispatch/tests/store_table.rs
+++ b/crates/amaranth-dispatch/tests/store_table.rs
@@ -12,6 +12,7 @@
 };
 use bytes::Bytes;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const MAX_AGE: Duration = Duration::from_millis(2_000);
 
@@ -304,3 +305,109 @@
     assert!(!freshness.accept(at(10_000), &cut));
     assert!(freshness.is_reader_behind(max_lag));
 }
+
+#[test]
+fn an_update_that_the_entry_has_already_shows_that_its_reader_is_recent() {
+    let mut freshness = TableFreshness::default();
+    assert!(freshness.record_read(at(2_000), Era(0)));
+    let known = update(&table_read_at(7, 1_900, 0), 2_300, TableCursor::default());
+    assert!(!freshness.accept(at(2_300), &known));
+    assert_eq!(
+        freshness.relayed_for(at(2_400), MAX_AGE),
+        Some(MAX_AGE - Duration::from_millis(500))
+    );
+    let mut restored = TableFreshness::default();
+    assert!(restored.record_read(at(2_000), Era(2)));
+    assert!(!restored.accept(at(2_300), &known), "an earlier era");
+    assert_eq!(restored.relayed_for(at(2_400), MAX_AGE), None);
+}
+
+/// The interval of an entry's own reads, in milliseconds, for a bound of 2 s.
+const OWN_INTERVAL: u64 = 1_000;
+
+/// The intervals of an entry's questions and of its reader's reads, in milliseconds, and when the first
+/// ones take place.
+#[derive(Debug, Clone, Copy)]
+struct RelayPhases {
+    question_interval: u64,
+    question_phase: u64,
+    reader_interval: u64,
+    reader_phase: u64,
+}
+
+/// Returns the number of reads of the store that an entry with a working reader makes by itself from
+/// 10 s to 60 s. `read_time` is the time that its reads wait for a change.
+fn own_reads(read_time: u64, phases: RelayPhases) -> u32 {
+    let max_age = Duration::from_millis(1_100);
+    let mut freshness = TableFreshness::default();
+    let (mut next_read, mut read_end, mut question) = (0, None, phases.question_phase);
+    let mut reads = 0;
+    for now in 0..60_000 {
+        if read_end == Some(now) {
+            freshness.record_read(at(now), Era(0));
+        }
+        if now == next_read {
+            if let Some(delay) = freshness.relayed_for(at(now), max_age) {
+                let millis = u64::try_from(delay.as_millis()).expect("it is short");
+                next_read = now + millis.max(1);
+            } else {
+                reads += u32::from(now >= 10_000);
+                read_end = Some(now + read_time.max(1));
+                next_read = now + OWN_INTERVAL.max(read_time + 1);
+            }
+        }
+        if now == question + phases.question_interval {
+            let read_at = now - (now + phases.reader_phase) % phases.reader_interval;
+            let answer = update(
+                &table_read_at(7, read_at, 0),
+                question,
+                TableCursor::default(),
+            );
+            freshness.accept(at(question), &answer);
+            question = now;
+        }
+    }
+    reads
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(11),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn an_entry_with_a_working_reader_stops_reading_the_store_whatever_the_phases(
+        waits in any::<bool>(),
+        question_interval in 440_u64..500,
+        question_phase in 0_u64..500,
+        reader_interval in 440_u64..510,
+        reader_phase in 0_u64..500,
+    ) {
+        let read_time = if waits { 1_200 } else { 0 };
+        let phases = RelayPhases {
+            question_interval,
+            question_phase,
+            reader_interval,
+            reader_phase,
+        };
+        prop_assert_eq!(own_reads(read_time, phases), 0, "{:?}", phases);
+    }
+
+    #[test]
+    fn an_entry_whose_intervals_are_those_of_its_reader_stops_reading_the_store(
+        interval in 440_u64..500,
+        question_phase in 0_u64..500,
+        reader_phase in 0_u64..500,
+    ) {
+        let phases = RelayPhases {
+            question_interval: interval,
+            question_phase,
+            reader_interval: interval,
+            reader_phase,
+        };
+        prop_assert_eq!(own_reads(1_200, phases), 0, "{:?}", phases);
+    }
+}
