Exchange findings about crashes through agents as well as through the store

Cause: the store was the only way between entries. Ways weighed: entries that call each other know no addresses; one agent alone is lost too easily; a connection to each agent grows with pairs. Two agents, ranked as the holders of streams' origins are, take the newest findings of each entry and answer as soon as there are others. Findings state the time of their last change, so that a late read of the store does not replace newer ones.

The simulated fleet has an agent in these cases that loses its memory once in a hundred steps; the other cases keep the store alone.

--- a/crates/amaranth-dispatch/src/call_quarantine.rs
+++ b/crates/amaranth-dispatch/src/call_quarantine.rs
@@ -34,6 +34,9 @@
 /// when it is answered, so that endpoints which fail together rarely share it.
 const MIN_REQUEST_MOMENTS: usize = 2;
 
+/// Smallest difference of the times of two changes, also after the wall clock was set back.
+const MIN_CHANGE_GAP: Duration = Duration::from_millis(1);
+
 /// Time between two moments.
 const MOMENT_GAP: Duration = Duration::from_millis(200);
 
@@ -75,6 +78,10 @@
 /// What one entry found, as it publishes it.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EntryFindings {
+    /// The time of the last change, later than that of all earlier ones. Findings may arrive by several
+    /// ways, and older ones do not replace newer ones.
+    #[serde(default)]
+    pub as_of: WallTime,
     /// Crashes of engines.
     pub crashes: Vec<CrashReport>,
     /// Survivals of properties that some entry suspects.
@@ -163,7 +170,7 @@
             return QuarantineChange::default();
         }
         let mut change = self.assess(now);
-        change.must_publish = true;
+        self.mark_changed(now, &mut change);
         change
     }
 
@@ -183,11 +190,11 @@
             return QuarantineChange::default();
         }
         let mut change = self.assess(now);
-        change.must_publish = true;
+        self.mark_changed(now, &mut change);
         change
     }
 
-    /// Replaces the findings of other entries.
+    /// Replaces the findings of other entries, unless newer ones of theirs are known.
     pub fn apply(
         &mut self,
         now: WallTime,
@@ -202,7 +209,10 @@
             for report in &findings.survivals {
                 record_newest(&mut self.reported, *report);
             }
-            self.peers.insert(entry, findings);
+            let known = self.peers.entry(entry).or_default();
+            if known.as_of <= findings.as_of {
+                *known = findings;
+            }
         }
         forget_older_half(&mut self.reported);
         let mut is_news = false;
@@ -210,7 +220,9 @@
             is_news |= self.publish_survival(property);
         }
         let mut change = self.assess(now);
-        change.must_publish = is_news;
+        if is_news {
+            self.mark_changed(now, &mut change);
+        }
         change
     }
 
@@ -229,10 +241,20 @@
         }
         truncate_oldest(&mut self.own.survivals);
         let mut change = self.assess(now);
-        change.must_publish = self.own != published;
+        self.own.as_of = self.own.as_of.max(published.as_of);
+        if self.own.crashes != published.crashes || self.own.survivals != published.survivals {
+            self.mark_changed(now, &mut change);
+        }
         change
     }
 
+    /// Records that the findings of this entry changed at `now` and have to be published.
+    fn mark_changed(&mut self, now: WallTime, change: &mut QuarantineChange) {
+        let next = self.own.as_of + MIN_CHANGE_GAP;
+        self.own.as_of = now.max(next);
+        change.must_publish = true;
+    }
+
     /// Ends quarantines whose evidence is too old.
     pub fn expire(&mut self, now: WallTime) -> QuarantineChange {
         self.own
--- a/crates/amaranth-dispatch/tests/call_quarantine.rs
+++ b/crates/amaranth-dispatch/tests/call_quarantine.rs
@@ -279,6 +279,7 @@
         seen_at: at(0),
     };
     let findings = EntryFindings {
+        as_of: at(7),
         crashes: vec![crash("e1", 0, &[BAD, BAD_REQUEST])],
         survivals: vec![survival],
     };
@@ -288,6 +289,34 @@
     assert_eq!(read, findings);
 }
 
+#[test]
+fn findings_that_arrive_late_do_not_replace_newer_ones() {
+    let mut entry = CallQuarantine::default();
+    record_crashes(&mut entry, 0, &[&[BAD]; 2]);
+    let older = entry.findings().clone();
+    // The wall clock of the entry is set back by two seconds before the third crash.
+    let third = crash("e3", 900, &[BAD]);
+    entry.record_crash(at(0), third);
+    let newer = entry.findings().clone();
+    assert!(older.as_of < newer.as_of);
+    let mut peer = CallQuarantine::default();
+    peer.apply(at(1_000), [("a".to_owned(), newer)]);
+    assert!(is_quarantined(&peer, &[BAD]));
+    peer.apply(at(1_100), [("a".to_owned(), older)]);
+    assert!(is_quarantined(&peer, &[BAD]));
+}
+
+#[test]
+fn a_restarted_entry_whose_clock_was_set_back_replaces_what_it_had_published() {
+    let mut before = CallQuarantine::default();
+    record_crashes(&mut before, 60_000, &[&[BAD]; 2]);
+    let published = before.findings().clone();
+    let mut after = CallQuarantine::default();
+    after.adopt(at(1_000), published.clone());
+    after.record_crash(at(2_000), crash("e9", 61_500, &[BAD]));
+    assert!(published.as_of < after.findings().as_of);
+}
+
 fn assert_kept(result: &FleetResult, seed: u64) {
     assert!(
         result.crashes > 0 && result.sound_calls > 0,
@@ -321,22 +350,25 @@
             cut_off: 0,
             bad,
         };
-        assert_kept(&fleet::play(plan, Exchange::Shared, seed), seed);
+        assert_kept(&fleet::play(plan, Exchange::Store, seed), seed);
     }
 }
 
 #[rstest]
-#[case::one_of_three(3, 9, 1, BadCalls::Part)]
-#[case::a_third_of_many(69, 120, 23, BadCalls::Part)]
-#[case::a_third_of_some(30, 60, 11, BadCalls::Part)]
-#[case::most(30, 60, 24, BadCalls::Part)]
-#[case::a_request_and_one_of_three(3, 3, 1, BadCalls::Request)]
-#[case::a_request_and_a_third(30, 60, 11, BadCalls::Request)]
+#[case::one_of_three(3, 9, 1, BadCalls::Part, Exchange::Store)]
+#[case::a_third_of_many(69, 120, 23, BadCalls::Part, Exchange::Store)]
+#[case::a_third_of_some(30, 60, 11, BadCalls::Part, Exchange::Store)]
+#[case::most(30, 60, 24, BadCalls::Part, Exchange::StoreAndAgent)]
+#[case::a_request_and_one_of_three(3, 3, 1, BadCalls::Request, Exchange::Store)]
+#[case::a_request_and_a_third(30, 60, 11, BadCalls::Request, Exchange::Store)]
+#[case::a_request_and_most(30, 60, 24, BadCalls::Request, Exchange::StoreAndAgent)]
+#[case::a_request_and_all_but_two(68, 6, 66, BadCalls::Request, Exchange::StoreAndAgent)]
 fn entries_that_reach_the_store_stop_such_calls_although_others_do_not(
     #[case] entries: usize,
     #[case] engines: usize,
     #[case] cut_off: usize,
     #[case] bad: BadCalls,
+    #[case] exchange: Exchange,
 ) {
     for seed in 0..12 {
         let plan = FleetPlan {
@@ -346,7 +378,7 @@
             cut_off,
             bad,
         };
-        assert_kept(&fleet::play(plan, Exchange::Shared, seed), seed);
+        assert_kept(&fleet::play(plan, exchange, seed), seed);
     }
 }
 
--- a/crates/amaranth-dispatch/tests/call_quarantine/fleet.rs
+++ b/crates/amaranth-dispatch/tests/call_quarantine/fleet.rs
@@ -30,6 +30,9 @@
 /// The number of steps after which the answer to a call has survived.
 const SURVIVAL_STEPS: u64 = 10;
 
+/// The probability that the agent restarts in a step.
+const AGENT_RESTART: f64 = 0.01;
+
 /// The probability that an entry is disturbed in a step.
 const DISTURBANCE: f64 = 0.004;
 
@@ -37,7 +40,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Exchange {
     /// Through a store.
-    Shared,
+    Store,
+    /// Through a store and through an agent, which loses its memory now and then.
+    StoreAndAgent,
     /// Not at all.
     None,
 }
@@ -102,6 +107,7 @@
     quarantine: CallQuarantine,
     must_publish: bool,
     read_version: u64,
+    agent_version: u64,
     frozen_until: u64,
     cut_until: u64,
     disturbed_at: u64,
@@ -138,6 +144,7 @@
 /// Plays a fleet.
 pub fn play(plan: FleetPlan, exchange: Exchange, seed: u64) -> FleetResult {
     let mut rng = SmallRng::seed_from_u64(seed);
+    let mut agent_rng = SmallRng::seed_from_u64(seed);
     let mut fleet = Fleet::new(plan);
     let disturbance = (DISTURBANCE * plan.entries as f64).min(1.0);
     for step in 0..STEPS {
@@ -146,9 +153,15 @@
         }
         fleet.send_calls(step, &mut rng);
         fleet.run_engines(step, &mut rng);
-        if exchange == Exchange::Shared {
+        if exchange != Exchange::None {
             fleet.exchange(step);
         }
+        if exchange == Exchange::StoreAndAgent {
+            if agent_rng.random_bool(AGENT_RESTART) {
+                fleet.agent.clear();
+            }
+            fleet.exchange_with_agent(step);
+        }
     }
     fleet.count()
 }
@@ -158,6 +171,8 @@
     entries: Vec<FleetEntry>,
     engines: Vec<FleetEngine>,
     store: BTreeMap<usize, (u64, EntryFindings)>,
+    /// The newest findings of each entry at the agent.
+    agent: BTreeMap<usize, (u64, EntryFindings)>,
     version: u64,
     crashes: Vec<u64>,
     calls: Vec<CountedCall>,
@@ -171,6 +186,7 @@
                 quarantine: CallQuarantine::default(),
                 must_publish: false,
                 read_version: 0,
+                agent_version: 0,
                 frozen_until: 0,
                 cut_until,
                 disturbed_at: cut_until,
@@ -181,6 +197,7 @@
             entries: entries.collect(),
             engines: (0..plan.engines).map(|_| FleetEngine::default()).collect(),
             store: BTreeMap::new(),
+            agent: BTreeMap::new(),
             version: 0,
             crashes: Vec::new(),
             calls: Vec::new(),
@@ -199,6 +216,7 @@
                 entry.quarantine = CallQuarantine::default();
                 entry.must_publish = false;
                 entry.read_version = 0;
+                entry.agent_version = 0;
                 entry.frozen_until = step + 5;
                 if let Some((_, findings)) = self.store.get(&index) {
                     entry.quarantine.adopt(time(step), findings.clone());
@@ -372,6 +390,42 @@
         }
     }
 
+    /// Sends the findings of all entries to the agent and reads those of the others. The agent has what
+    /// entries sent in earlier steps.
+    fn exchange_with_agent(&mut self, step: u64) {
+        let version = self.version;
+        for (index, entry) in self.entries.iter_mut().enumerate() {
+            if entry.frozen_until > step {
+                continue;
+            }
+            let read_version = std::mem::replace(&mut entry.agent_version, version);
+            let news = self.agent.iter();
+            let news = news.filter(|(_, (sent_at, _))| (read_version..version).contains(sent_at));
+            let (own, others): (Vec<_>, Vec<_>) = news.partition(|(peer, _)| **peer == index);
+            if read_version == 0
+                && let Some((_, (_, own))) = own.first()
+            {
+                entry.quarantine.adopt(time(step), own.clone());
+            }
+            if !others.is_empty() {
+                let others = others
+                    .into_iter()
+                    .map(|(peer, (_, findings))| (format!("entry-{peer}"), findings.clone()));
+                let change = entry.quarantine.apply(time(step), others);
+                entry.must_publish |= change.must_publish;
+            }
+            let findings = entry.quarantine.findings();
+            let is_known = match self.agent.get(&index) {
+                Some((_, known)) => known == findings,
+                None => *findings == EntryFindings::default(),
+            };
+            if !is_known {
+                self.agent.insert(index, (version, findings.clone()));
+            }
+        }
+        self.version += 1;
+    }
+
     /// Publishes and reads findings at the entries that reach the store.
     fn exchange(&mut self, step: u64) {
         for index in 0..self.entries.len() {
--- a/crates/amaranth-dispatch/tests/stream_origins.rs
+++ b/crates/amaranth-dispatch/tests/stream_origins.rs
@@ -8,9 +8,9 @@
 use amaranth_core::ids::{ServiceName, SoftwareVersion};
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::call::CallId;
+use amaranth_dispatch::holder_ranking::{HOLDER_COPIES, StateHolder, rank_holders, select_holders};
 use amaranth_dispatch::stream_origins::{
-    ORIGIN_COPIES, ORIGIN_TIME, OriginHolder, SoftwareHistory, StreamKey, StreamOrigin,
-    StreamOrigins, rank_holders, select_holders,
+    ORIGIN_TIME, SoftwareHistory, StreamKey, StreamOrigin, StreamOrigins,
 };
 use proptest::prelude::{ProptestConfig, any, prop_assert, proptest};
 use proptest::test_runner::RngSeed;
@@ -35,17 +35,17 @@
     }
 }
 
-fn holder(number: u32) -> OriginHolder {
+fn holder(number: u32) -> StateHolder {
     let [_, high, middle, low] = number.to_be_bytes();
-    OriginHolder {
+    StateHolder {
         agent: SocketAddr::from(([10, high, middle, low], 7_000)),
         data_centre: format!("dc{}", number % 3),
     }
 }
 
 /// Returns the agents of a fleet that hold origins.
-fn select(agents: impl IntoIterator<Item = OriginHolder>) -> Vec<OriginHolder> {
-    let agents: Vec<OriginHolder> = agents.into_iter().collect();
+fn select(agents: impl IntoIterator<Item = StateHolder>) -> Vec<StateHolder> {
+    let agents: Vec<StateHolder> = agents.into_iter().collect();
     let agents = agents.iter();
     select_holders(agents.map(|holder| (holder.agent, holder.data_centre.as_str())))
 }
@@ -95,13 +95,13 @@
 fn copies_are_in_different_data_centres() {
     let holders = select((0..30).map(holder));
     for number in 0..200 {
-        let agents = rank_holders(key(number), &holders);
-        let centres: BTreeSet<&str> = agents[..ORIGIN_COPIES]
+        let agents = rank_holders(key(number).seed(), &holders);
+        let centres: BTreeSet<&str> = agents[..HOLDER_COPIES]
             .iter()
             .filter_map(|agent| holders.iter().find(|holder| holder.agent == *agent))
             .map(|holder| holder.data_centre.as_str())
             .collect();
-        assert_eq!(centres.len(), ORIGIN_COPIES);
+        assert_eq!(centres.len(), HOLDER_COPIES);
     }
 }
 
@@ -110,12 +110,12 @@
     let holders = select((0..3_400).map(holder));
     let mut load: BTreeMap<SocketAddr, u32> = BTreeMap::new();
     for number in 0..20_000 {
-        for agent in &rank_holders(key(number), &holders)[..ORIGIN_COPIES] {
+        for agent in &rank_holders(key(number).seed(), &holders)[..HOLDER_COPIES] {
             *load.entry(*agent).or_default() += 1;
         }
     }
     assert_eq!(load.len(), 64);
-    let mean = 20_000 * ORIGIN_COPIES as u32 / 64;
+    let mean = 20_000 * HOLDER_COPIES as u32 / 64;
     assert!(load.values().all(|share| *share < 2 * mean), "{load:?}");
 }
 
@@ -135,19 +135,19 @@
         stream in any::<u64>(),
     ) {
         let before = select((0..agents).map(holder));
-        let told = rank_holders(key(stream), &before);
+        let told = rank_holders(key(stream).seed(), &before);
         let lost = holder(lost % agents);
         let after = (0..agents).map(holder).chain([holder(joined)]);
         let after = select(after.filter(|holder| *holder != lost));
-        let asked = rank_holders(key(stream), &after);
-        let copies = told[..ORIGIN_COPIES].iter().filter(|agent| **agent != lost.agent);
+        let asked = rank_holders(key(stream).seed(), &after);
+        let copies = told[..HOLDER_COPIES].iter().filter(|agent| **agent != lost.agent);
         prop_assert!(copies.clone().any(|agent| asked.contains(agent)), "{told:?} {asked:?}");
     }
 }
 
 /// An agent of a simulated fleet.
 struct SimulatedAgent {
-    holder: OriginHolder,
+    holder: StateHolder,
     origins: StreamOrigins,
     is_up: bool,
 }
@@ -161,7 +161,7 @@
     let mut next_agent = 0;
     let mut begun: Vec<(u64, SoftwareVersion)> = Vec::new();
     let (mut streams, mut found) = (0, 0);
-    let mut listed: Vec<OriginHolder> = Vec::new();
+    let mut listed: Vec<StateHolder> = Vec::new();
     for step in 0..300_u64 {
         let now = NOW + Duration::from_millis(100 * step);
         fleet.retain(|_| !rng.random_bool(loss));
@@ -185,7 +185,10 @@
         let view = if is_stale { listed.clone() } else { current };
         let holders = select(view);
         let software = version(if rng.random_bool(0.5) { "v1" } else { "v2" });
-        for agent in rank_holders(key(step), &holders).iter().take(ORIGIN_COPIES) {
+        for agent in rank_holders(key(step).seed(), &holders)
+            .iter()
+            .take(HOLDER_COPIES)
+        {
             let known = fleet.iter_mut().find(|known| known.holder.agent == *agent);
             if let Some(known) = known.filter(|known| known.is_up) {
                 let stream = key(step);
@@ -199,7 +202,7 @@
         }
         let (taken_up, software) = &begun[step as usize - 10];
         streams += 1;
-        let asked = rank_holders(key(*taken_up), &holders);
+        let asked = rank_holders(key(*taken_up).seed(), &holders);
         let answers: Vec<SoftwareVersion> = fleet
             .iter_mut()
             .filter(|agent| agent.is_up && asked.contains(&agent.holder.agent))
--- a/crates/amaranth-relay/src/agent.rs
+++ b/crates/amaranth-relay/src/agent.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use amaranth_core::ids::{EndpointId, SoftwareVersion};
-use amaranth_core::time::Timestamp;
+use amaranth_core::time::{Timestamp, WallTime};
 use amaranth_dispatch::adapter_manager::{
     AdapterManager, GuardedOrder, LoadRequestId, OrderAnswer,
 };
@@ -15,6 +15,7 @@
 use amaranth_dispatch::engine_view::{
     EngineContents, EngineView, LoadOutcome, LoadRequest, UsageReport,
 };
+use amaranth_dispatch::findings_hub::{FindingsCursor, FindingsHub, HubFindings, HubUpdate};
 use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin, StreamOrigins};
 use amaranth_wire::engine_agent::{EngineAgentRpc, TableCursors, TableUpdates};
 use amaranth_wire::transport::{self, ServerHandle};
@@ -34,6 +35,8 @@
     manager: Mutex<AdapterManager>,
     limiter: Mutex<CallLimiter>,
     origins: Mutex<StreamOrigins>,
+    findings: Mutex<FindingsHub>,
+    findings_changed: Notify,
     waiters: Mutex<HashMap<LoadRequestId, oneshot::Sender<LoadOutcome>>>,
     changed: Notify,
     requested: Notify,
@@ -46,6 +49,8 @@
             manager: Mutex::default(),
             limiter: Mutex::default(),
             origins: Mutex::default(),
+            findings: Mutex::new(FindingsHub::new(WallTime::now().as_millis())),
+            findings_changed: Notify::new(),
             waiters: Mutex::default(),
             changed: Notify::new(),
             requested: Notify::new(),
@@ -158,6 +163,35 @@
         self.origins().find(now, stream)
     }
 
+    fn findings(&self) -> MutexGuard<'_, FindingsHub> {
+        self.findings.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn exchange_findings(
+        &self,
+        own: Option<HubFindings>,
+        cursor: FindingsCursor,
+        wait: Duration,
+    ) -> HubUpdate {
+        if own.is_some_and(|own| self.findings().record(own)) {
+            self.findings_changed.notify_waiters();
+        }
+        let waiting = async {
+            loop {
+                let changed = self.findings_changed.notified();
+                tokio::pin!(changed);
+                changed.as_mut().enable();
+                if self.findings().has_news(cursor) {
+                    return;
+                }
+                changed.await;
+            }
+        };
+        // On a timeout the entry learns that there is nothing new.
+        let _ = timeout(wait, waiting).await;
+        self.findings().update_for(cursor)
+    }
+
     async fn exchange(&self, usage: UsageReport, seen: u64, wait: Duration) -> EngineView {
         let now = self.now();
         let changed = self.changed.notified();
@@ -266,6 +300,16 @@
         self.core.record_origins(origins);
     }
 
+    async fn exchange_findings(
+        self,
+        _context: Context,
+        own: Option<HubFindings>,
+        cursor: FindingsCursor,
+        wait: Duration,
+    ) -> HubUpdate {
+        self.core.exchange_findings(own, cursor, wait).await
+    }
+
     async fn find_origin(self, _context: Context, stream: StreamKey) -> Option<SoftwareVersion> {
         self.core.find_origin(stream)
     }
--- a/crates/amaranth-relay/src/agent_link.rs
+++ b/crates/amaranth-relay/src/agent_link.rs
@@ -10,6 +10,7 @@
 use amaranth_dispatch::call_limiter::{CallPermit, CallRate};
 use amaranth_dispatch::endpoint_table::AgentFailure;
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest, UsageReport};
+use amaranth_dispatch::findings_hub::{FindingsCursor, HubFindings, HubUpdate};
 use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin};
 use amaranth_wire::engine_agent::{self, EngineAgentRpcClient, TableCursors, TableUpdates};
 use tarpc::client::RpcError;
@@ -138,6 +139,26 @@
         answer.map_err(|error| self.record_failure(address, &error))
     }
 
+    /// Sends an agent this entry's findings, if there are any to send, and returns those that the entry
+    /// lacks, as soon as there are some or `wait` is over.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the agent can't be reached in time.
+    pub async fn exchange_findings(
+        &self,
+        address: SocketAddr,
+        own: Option<HubFindings>,
+        cursor: FindingsCursor,
+        wait: Duration,
+    ) -> Result<HubUpdate, AgentError> {
+        let client = self.client(address).await?;
+        let answer = client
+            .exchange_findings(context(wait), own, cursor, wait)
+            .await;
+        answer.map_err(|error| self.record_failure(address, &error))
+    }
+
     async fn client(&self, address: SocketAddr) -> Result<EngineAgentRpcClient, AgentError> {
         let existing = self.lock().get(&address).cloned();
         if let Some(client) = existing {
--- a/crates/amaranth-relay/src/crash_watch.rs
+++ b/crates/amaranth-relay/src/crash_watch.rs
@@ -135,7 +135,7 @@
         core.notify_change();
     }
     if change.must_publish {
-        core.findings_changed.notify_one();
+        core.findings_changed.send_modify(|changes| *changes += 1);
     }
 }
 
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -9,12 +9,13 @@
 use amaranth_core::time::Timestamp;
 use amaranth_dispatch::call_quarantine::CallQuarantine;
 use amaranth_dispatch::endpoint_table::{
-    AgentFailure, EndpointChange, EndpointRecord, EndpointTable, RegistryEvent,
+    AgentFailure, EndpointChange, EndpointRecord, EndpointState, EndpointTable, RegistryEvent,
 };
 use amaranth_dispatch::engine_selector::Locality;
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest};
 use amaranth_dispatch::exchange_policy::SHORTAGE_TIME;
 use amaranth_dispatch::fleet_size::FleetSize;
+use amaranth_dispatch::holder_ranking::{StateHolder, select_holders};
 use amaranth_dispatch::load_limiter::{LoadLimiter, LoadTicket};
 use amaranth_dispatch::retry_quota::{RetryLimits, RetryQuota};
 use amaranth_dispatch::routes::{
@@ -25,7 +26,7 @@
 use amaranth_dispatch::store_table::TableFreshness;
 use amaranth_dispatch::stream_origins::SoftwareHistory;
 use amaranth_dispatch::version_table::VersionTable;
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::time::timeout;
 
 use crate::agent_link::{AgentError, AgentLinks};
@@ -162,8 +163,8 @@
     pub crashes: CrashWatch,
     /// The origins of streams.
     pub origins: OriginExchange,
-    /// Wakes the publication of the findings of `quarantine`.
-    pub findings_changed: Notify,
+    /// Counts the changes of the findings of `quarantine`.
+    pub findings_changed: watch::Sender<u64>,
     /// The stage of the process, which readiness checks report.
     pub stage: StageCell,
     clock: SuspendClock,
@@ -195,7 +196,7 @@
             loads: SharedLoads::default(),
             crashes: CrashWatch::default(),
             origins: OriginExchange::default(),
-            findings_changed: Notify::new(),
+            findings_changed: watch::Sender::new(0),
             stage: StageCell::default(),
             clock: SuspendClock::start(),
             state: Mutex::new(EntryState {
@@ -468,6 +469,23 @@
         outcome
     }
 
+    /// Returns the agents of the fleet that hold what entries share.
+    pub fn holders(&self) -> Vec<StateHolder> {
+        let state = self.state();
+        let Some(table) = state.config.current() else {
+            return Vec::new();
+        };
+        let is_engine = |endpoint: &&EndpointState| {
+            let rule = table.service(&endpoint.record.service);
+            rule.is_some_and(|rule| rule.engine.is_some())
+        };
+        let engines = state.endpoints.iter().filter(is_engine);
+        select_holders(engines.map(|endpoint| {
+            let agent = self.agent_address(endpoint.record.address);
+            (agent, endpoint.record.data_centre.as_str())
+        }))
+    }
+
     /// Returns the address of the agent of an engine: the VM of the engine, at the common agent
     /// port.
     pub const fn agent_address(&self, engine: SocketAddr) -> SocketAddr {
--- a/crates/amaranth-relay/src/findings_task.rs
+++ b/crates/amaranth-relay/src/findings_task.rs
@@ -1,4 +1,4 @@
-//! The exchange of findings about crashes between entries, through the platform's store.
+//! The exchange of findings about crashes between entries, through the platform's store and past it.
 
 use std::future::Future;
 use std::sync::Arc;
@@ -13,6 +13,7 @@
 use crate::engine_port::PortError;
 use crate::entry::EntryCore;
 use crate::feed::{self, FeedEvent, FeedOptions, FeedSource};
+use crate::findings_exchange;
 
 /// Maximum time for which a read waits for findings.
 const READ_WAIT: Duration = Duration::from_secs(8);
@@ -55,7 +56,7 @@
 /// The tasks that exchange findings. Dropping the handle aborts them.
 #[derive(Debug)]
 pub struct FindingsTasks {
-    tasks: [JoinHandle<()>; 3],
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Drop for FindingsTasks {
@@ -81,7 +82,7 @@
     let reader = Arc::clone(core);
     let (publisher, expirer) = (Arc::clone(core), Arc::clone(core));
     FindingsTasks {
-        tasks: [
+        tasks: vec![
             tokio::spawn(async move {
                 feed::follow(source, options, |event| apply_event(&reader, event)).await;
             }),
@@ -93,6 +94,8 @@
                     apply_change(&expirer, &change);
                 }
             }),
+            tokio::spawn(findings_exchange::exchange(Arc::clone(core), 0)),
+            tokio::spawn(findings_exchange::exchange(Arc::clone(core), 1)),
         ],
     }
 }
@@ -123,9 +126,12 @@
 /// Publishes the findings of the entry whenever they change.
 async fn publish_changes(core: &EntryCore, store: &impl FindingsStore) {
     let mut retry_delay = MIN_RETRY_DELAY;
+    let mut changes = core.findings_changed.subscribe();
     loop {
-        core.findings_changed.notified().await;
+        // The sender lives as long as the entry.
+        let _ = changes.changed().await;
         sleep(PUBLISH_DELAY).await;
+        changes.mark_unchanged();
         let findings = core.state().quarantine.findings().clone();
         match store.publish(&core.options.name, &findings).await {
             Ok(()) => retry_delay = MIN_RETRY_DELAY,
@@ -133,7 +139,7 @@
                 log::warn!("event=findings_not_published error={error}");
                 sleep(retry_delay).await;
                 retry_delay = (retry_delay * 2).min(MAX_RETRY_DELAY);
-                core.findings_changed.notify_one();
+                changes.mark_changed();
             }
         }
     }
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod entry_tasks;
 pub mod event_splitter;
 pub mod feed;
+pub mod findings_exchange;
 pub mod findings_task;
 pub mod limited_stream;
 pub mod order_loop;
--- a/crates/amaranth-relay/src/origin_exchange.rs
+++ b/crates/amaranth-relay/src/origin_exchange.rs
@@ -7,13 +7,10 @@
 
 use amaranth_core::ids::SoftwareVersion;
 use amaranth_dispatch::call::CallId;
-use amaranth_dispatch::endpoint_table::EndpointState;
+use amaranth_dispatch::holder_ranking::{HOLDER_COPIES, rank_holders};
 use amaranth_dispatch::refusal::{Refusal, RefusalCause};
 use amaranth_dispatch::routes::RouteKind;
-use amaranth_dispatch::stream_origins::{
-    ORIGIN_COPIES, OriginHolder, StreamKey, StreamOrigin, StreamOrigins, rank_holders,
-    select_holders,
-};
+use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin, StreamOrigins};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::{sleep, timeout};
 
@@ -115,7 +112,7 @@
     if let Some(software) = core.origins.known().find(core.now(), stream) {
         return OriginAnswer::Known(software);
     }
-    let agents = rank_holders(stream, &holders(core));
+    let agents = rank_holders(stream.seed(), &core.holders());
     let expected = agents.len();
     let (sender, mut answers) = mpsc::channel(expected.max(1));
     for agent in agents {
@@ -146,34 +143,17 @@
     }
 }
 
-/// Returns the agents of the fleet that hold origins.
-fn holders(core: &EntryCore) -> Vec<OriginHolder> {
-    let state = core.state();
-    let Some(table) = state.config.current() else {
-        return Vec::new();
-    };
-    let is_engine = |endpoint: &&EndpointState| {
-        let rule = table.service(&endpoint.record.service);
-        rule.is_some_and(|rule| rule.engine.is_some())
-    };
-    let engines = state.endpoints.iter().filter(is_engine);
-    select_holders(engines.map(|endpoint| {
-        let agent = core.agent_address(endpoint.record.address);
-        (agent, endpoint.record.data_centre.as_str())
-    }))
-}
-
 /// Tells agents of the streams that this entry begins.
 pub async fn publish_origins(core: Arc<EntryCore>) {
     loop {
         core.origins.added.notified().await;
         sleep(COLLECT_TIME).await;
         let origins = std::mem::take(&mut *core.origins.unsent());
-        let holders = holders(&core);
+        let holders = core.holders();
         let mut batches: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
         for origin in origins {
-            let agents = rank_holders(origin.stream, &holders);
-            for agent in agents.into_iter().take(ORIGIN_COPIES) {
+            let agents = rank_holders(origin.stream.seed(), &holders);
+            for agent in agents.into_iter().take(HOLDER_COPIES) {
                 batches.entry(agent).or_default().push(origin.clone());
             }
         }
--- a/crates/amaranth-relay/tests/relay/quarantine.rs
+++ b/crates/amaranth-relay/tests/relay/quarantine.rs
@@ -8,9 +8,12 @@
 use amaranth_core::store::StorePosition;
 use amaranth_dispatch::call_quarantine::EntryFindings;
 use amaranth_dispatch::routes::RouteKind;
+use amaranth_relay::agent::{self, AgentCore};
 use amaranth_relay::engine_port::PortError;
 use amaranth_relay::feed::{FeedBatch, FeedError, FeedSource};
 use amaranth_relay::findings_task::{self, FindingsStore, FindingsTasks, PublishedFindings};
+use amaranth_relay::store_reader::{ReaderOptions, StoreReader};
+use amaranth_wire::transport::ServerHandle;
 use rstest::rstest;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep, timeout};
@@ -251,3 +254,110 @@
     );
     assert_eq!(refused, 0, "sound calls go on");
 }
+
+/// A store that does not answer.
+#[derive(Debug, Clone, Copy)]
+struct AbsentStore;
+
+impl FindingsStore for AbsentStore {
+    async fn publish(&self, _entry: &str, _findings: &EntryFindings) -> Result<(), PortError> {
+        Err(PortError("no answer".to_owned()))
+    }
+}
+
+impl FeedSource for AbsentStore {
+    type Item = PublishedFindings;
+
+    async fn read_all(&mut self) -> Result<FeedBatch<PublishedFindings>, FeedError> {
+        Err(FeedError::Unavailable("no answer".to_owned()))
+    }
+
+    async fn read_since(
+        &mut self,
+        _position: StorePosition,
+        _wait: Duration,
+    ) -> Result<FeedBatch<PublishedFindings>, FeedError> {
+        self.read_all().await
+    }
+}
+
+#[rstest]
+#[case::all_entries(24)]
+#[case::most_entries(18)]
+#[tokio::test]
+async fn entries_that_are_cut_off_from_the_store_recognise_a_repeated_request_together(
+    #[case] cut_off: usize,
+) {
+    let agent = bind_agent().await;
+    let topic = SharedTopic::default();
+    let (mut entries, mut tasks) = (Vec::new(), Vec::new());
+    for number in 0..24 {
+        let entry = TestEntry::bind_named(&format!("entry-{number}"), agent.address().port());
+        entry.configure(1, vec![route(RouteKind::Idempotent, false, 2)]);
+        tasks.push(if number < cut_off {
+            findings_task::spawn(&entry.core, AbsentStore, AbsentStore)
+        } else {
+            findings_task::spawn(&entry.core, topic.clone(), topic.clone())
+        });
+        entries.push(Arc::new(entry));
+    }
+    let cores: Vec<_> = entries
+        .iter()
+        .map(|entry| Arc::clone(&entry.core))
+        .collect();
+    let engines = CrashingEngines::spawn(6, &cores);
+    let refused = send_crashing_requests(&entries, "").await;
+    assert!(engines.crashes() >= 3, "the request crashes endpoints");
+    assert!(
+        engines.late_arrivals(3, QUARANTINE_BOUND) <= 3,
+        "the request reached endpoints {} times more, {} crashed",
+        engines.late_arrivals(3, QUARANTINE_BOUND),
+        engines.crashes()
+    );
+    assert_eq!(refused, 0, "sound calls go on");
+    for (number, entry) in entries.iter().enumerate() {
+        let crashing = post_body(&format!("c{number}"), "", CRASHING_BODY);
+        assert_eq!(
+            status(&entry.call(&crashing).await),
+            "503",
+            "entry {number}"
+        );
+    }
+}
+
+async fn bind_agent() -> ServerHandle {
+    let reader = StoreReader::new(ReaderOptions {
+        incarnation: 1,
+        config_bound: Duration::from_secs(2),
+        drain_bound: Duration::from_secs(2),
+    });
+    let loopback = "127.0.0.1:0".parse().expect("the address is valid");
+    agent::bind(Arc::new(AgentCore::default()), Arc::new(reader), loopback)
+        .await
+        .expect("loopback has a free port")
+}
+
+#[tokio::test]
+async fn an_entry_that_restarts_without_the_store_knows_what_is_quarantined() {
+    let agent = bind_agent().await;
+    let start = || {
+        let entry = TestEntry::bind_named("entry-0", agent.address().port());
+        entry.configure(1, vec![route(RouteKind::Idempotent, false, 2)]);
+        let tasks = findings_task::spawn(&entry.core, AbsentStore, AbsentStore);
+        (Arc::new(entry), tasks)
+    };
+    let (entry, tasks) = start();
+    let engines = CrashingEngines::spawn(3, &[Arc::clone(&entry.core)]);
+    let crashing = post_body("a", "", CRASHING_BODY);
+    for _ in 0..30 {
+        entry.call(&crashing).await;
+        sleep(Duration::from_millis(100)).await;
+    }
+    assert_eq!(status(&entry.call(&crashing).await), "503");
+    drop((entry, tasks, engines));
+    let (restarted, _tasks) = start();
+    let engines = CrashingEngines::spawn(2, &[Arc::clone(&restarted.core)]);
+    sleep(Duration::from_millis(1_500)).await;
+    assert_eq!(status(&restarted.call(&crashing).await), "503");
+    assert_eq!(engines.crashes(), 0);
+}
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -392,6 +392,11 @@
         Self::bind_with(name, 1)
     }
 
+    /// Starts an entry of this name, with a port for agents.
+    pub fn bind_named(name: &str, agent_port: u16) -> Self {
+        Self::bind_with(name, agent_port)
+    }
+
     fn bind_with(name: &str, agent_port: u16) -> Self {
         let options = EntryOptions {
             name: name.to_owned(),
--- a/crates/amaranth-wire/src/engine_agent.rs
+++ b/crates/amaranth-wire/src/engine_agent.rs
@@ -7,6 +7,7 @@
 use amaranth_core::ids::{EndpointId, SoftwareVersion};
 use amaranth_dispatch::call_limiter::{CallPermit, CallRate};
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest, UsageReport};
+use amaranth_dispatch::findings_hub::{FindingsCursor, HubFindings, HubUpdate};
 use amaranth_dispatch::store_table::{TableCursor, TableUpdate};
 use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin};
 use serde::{Deserialize, Serialize};
@@ -54,6 +55,14 @@
 
     /// Returns the software version at which a stream began, if the agent knows it.
     async fn find_origin(stream: StreamKey) -> Option<SoftwareVersion>;
+
+    /// Records an entry's findings about crashes, if it sends them, and returns those that it lacks, as
+    /// soon as there are some or `wait` is over.
+    async fn exchange_findings(
+        own: Option<HubFindings>,
+        cursor: FindingsCursor,
+        wait: Duration,
+    ) -> HubUpdate;
 }
 
 /// Connects to an agent within `timeout` and spawns its client.
