End a stream soon after its deadline also when its caller has stopped reading

A timer of its own takes the relay and drops it, and with it the connection to the engine, 200 ms after the call's deadline. Weighed: a task that pumps each stream through a channel, which costs a wake-up more for each event.

--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -1,6 +1,6 @@
 //! Forwarding of a stream of events as it arrives, and its resumption at another engine on failure.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use amaranth_core::ids::SoftwareVersion;
@@ -12,7 +12,8 @@
 use http::Response;
 use http_body_util::BodyExt;
 use hyper::body::Frame;
-use tokio::time::{Instant, timeout_at};
+use tokio::task::JoinHandle;
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::answer_body::{self, AnswerBody, AnswerBroken};
 use crate::endpoint_body::{EndpointBody, is_delimited};
@@ -29,6 +30,9 @@
 /// Time after a call's deadline for which events in transit are still forwarded.
 const END_SLACK: Duration = Duration::from_millis(100);
 
+/// Time after a call's deadline after which a stream is ended that its caller does not read.
+const EXPIRY_SLACK: Duration = Duration::from_millis(200);
+
 /// Limit on the comments of a stream before its first event, in bytes.
 const MAX_COMMENT_BYTES: usize = 64 << 10;
 
@@ -218,17 +222,66 @@
         return Ok(response);
     }
     let pending = first.map(|batch| relay.record(batch));
-    let body = stream::unfold((relay, pending), |(mut relay, pending)| async move {
+    let state = (ExpiringRelay::new(relay), pending);
+    let body = stream::unfold(state, |(expiring, pending)| async move {
         let item = match pending {
             Some(bytes) => Some(Ok(bytes)),
-            None => relay.next().await,
+            None => expiring.next().await,
         };
-        item.map(|item| (item.map(Frame::data), (relay, None)))
+        item.map(|item| (item.map(Frame::data), (expiring, None)))
     });
     *response.body_mut() = answer_body::streamed(body);
     Ok(response)
 }
 
+/// A relay that ends soon after the deadline of its call also when the caller has stopped reading, and
+/// nothing asks for the next item.
+struct ExpiringRelay {
+    relay: Arc<Mutex<Option<StreamRelay>>>,
+    expiry: JoinHandle<()>,
+}
+
+impl Drop for ExpiringRelay {
+    fn drop(&mut self) {
+        self.expiry.abort();
+        drop(take(&self.relay));
+    }
+}
+
+impl ExpiringRelay {
+    fn new(relay: StreamRelay) -> Self {
+        let expires_at = relay.call.deadline + EXPIRY_SLACK;
+        let relay = Arc::new(Mutex::new(Some(relay)));
+        let expiring = Arc::clone(&relay);
+        let expiry = tokio::spawn(async move {
+            sleep_until(expires_at).await;
+            // A relay that is asked for an item at this time ends by itself.
+            if let Some(mut relay) = take(&expiring) {
+                relay.outcome = "caller-stopped-reading";
+            }
+        });
+        Self { relay, expiry }
+    }
+
+    async fn next(&self) -> Option<Result<Bytes, AnswerBroken>> {
+        let Some(mut relay) = take(&self.relay) else {
+            let reason = "the caller had stopped reading at the deadline of the call";
+            return Some(Err(AnswerBroken(reason.to_owned())));
+        };
+        let item = relay.next().await;
+        *lock(&self.relay) = Some(relay);
+        item
+    }
+}
+
+fn lock(relay: &Mutex<Option<StreamRelay>>) -> MutexGuard<'_, Option<StreamRelay>> {
+    relay.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn take(relay: &Mutex<Option<StreamRelay>>) -> Option<StreamRelay> {
+    lock(relay).take()
+}
+
 /// Logs that a call goes on with a stream that its caller received in part.
 fn log_resumed_call(call: &RoutedCall, guard: &SendGuard) {
     let Some(last_event) = call.head.resume_after else {
--- a/crates/amaranth-relay/tests/relay/streams.rs
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -438,3 +438,22 @@
     }
     assert_eq!(silent.arrivals().len(), 1);
 }
+
+#[tokio::test]
+async fn a_stream_whose_caller_stops_reading_ends_at_its_engine_soon_after_the_deadline() {
+    let data = "x".repeat(64 << 10);
+    let events = (1..=512).map(|id| (0, chunk(&format!("id: {id}\ndata: {data}\n\n"))));
+    let pieces = [(0, stream_head("c1"))].into_iter().chain(events);
+    let engine = FakeEndpoint::bind(vec![Reply::Pieces(pieces.collect())]).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&engine]);
+    let mut caller = entry.connect().await;
+    caller
+        .write_all(post_for("c1", 600, "").as_bytes())
+        .await
+        .expect("the request is written");
+    read_until(&mut caller, "id: 1").await;
+    assert_eq!(engine.closed(), 0);
+    sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(engine.closed(), 1, "the engine goes on with the stream");
+    assert_eq!(engine.arrivals().len(), 1);
+}
