Forget the number of entries in the fleet when no agent has stated one for 20 s

FleetSize dropped old counts only when it heard a newer one, and the retry quota kept its last number for good.

A count is valid for 20 s after an agent stated it. After that the quota falls back to the number that it assumes before it knows one, and the entry reads the store itself as in a small fleet. The new test states what held before: 20.001 s after its only count of 3 the entry still took a sixth of the slack.

--- a/crates/amaranth-dispatch/src/fleet_size.rs
+++ b/crates/amaranth-dispatch/src/fleet_size.rs
@@ -15,7 +15,7 @@
 
 /// Time for which an entry divides by a count after it heard it, so that agents which restart
 /// together have time to hear from all entries.
-const COUNT_HOLD_TIME: Duration = Duration::from_secs(20);
+pub const COUNT_HOLD_TIME: Duration = Duration::from_secs(20);
 
 /// The entries that an agent heard from.
 #[derive(Debug, Clone, Default)]
@@ -69,8 +69,11 @@
         }
     }
 
-    /// Returns the number of entries to divide shared limits by, if an agent has stated one.
-    pub fn entries(&self) -> Option<u32> {
-        self.counts.front().map(|(_, count)| *count)
+    /// Returns the number of entries to divide shared limits by, if an agent has stated one recently. An
+    /// entry that was frozen for longer knows none.
+    pub fn entries(&self, now: Timestamp) -> Option<u32> {
+        let mut counts = self.counts.iter();
+        let recent = counts.find(|(at, _)| now.since(*at) <= COUNT_HOLD_TIME);
+        recent.map(|(_, count)| *count)
     }
 }
--- a/crates/amaranth-dispatch/src/retry_quota.rs
+++ b/crates/amaranth-dispatch/src/retry_quota.rs
@@ -44,10 +44,18 @@
     retries: u32,
 }
 
+/// The number of entries as it was learned.
+#[derive(Debug, Clone, Copy)]
+struct LearnedCount {
+    entries: u32,
+    valid_until: Timestamp,
+}
+
 /// One entry's quota of the fleet's retry budget.
 #[derive(Debug, Clone)]
 pub struct RetryQuota {
     limits: RetryLimits,
+    learned: Option<LearnedCount>,
     services: BTreeMap<ServiceName, VecDeque<BucketCount>>,
 }
 
@@ -56,13 +64,18 @@
     pub const fn new(limits: RetryLimits) -> Self {
         Self {
             limits,
+            learned: None,
             services: BTreeMap::new(),
         }
     }
 
-    /// Sets the number of entries that share the budget.
-    pub const fn set_entries(&mut self, entries: u32) {
-        self.limits.entries = entries;
+    /// Sets the number of entries that share the budget. After `valid_until` the assumed number counts
+    /// again.
+    pub const fn set_entries(&mut self, entries: u32, valid_until: Timestamp) {
+        self.learned = Some(LearnedCount {
+            entries,
+            valid_until,
+        });
     }
 
     /// Replaces the budget. The number of entries that was learned is kept. Another window begins as
@@ -71,8 +84,7 @@
         if limits.window != self.limits.window {
             self.services.clear();
         }
-        let entries = self.limits.entries;
-        self.limits = RetryLimits { entries, ..limits };
+        self.limits = limits;
     }
 
     /// Records a call to a service.
@@ -109,7 +121,9 @@
             }
         }
         let earned = self.limits.ratio * RATIO_FRACTION * f64::from(calls);
-        let shared_by = self.limits.entries.max(1) * STARTS_COVERED;
+        let learned = self.learned.filter(|learned| now <= learned.valid_until);
+        let entries = learned.map_or(self.limits.entries, |learned| learned.entries);
+        let shared_by = entries.max(1) * STARTS_COVERED;
         let slack = self.limits.slack / shared_by;
         (earned as u32 + slack).saturating_sub(retries)
     }
--- a/crates/amaranth-dispatch/tests/fleet_size.rs
+++ b/crates/amaranth-dispatch/tests/fleet_size.rs
@@ -28,18 +28,35 @@
 #[test]
 fn an_entry_keeps_the_largest_recent_count() {
     let mut size = FleetSize::default();
-    assert_eq!(size.entries(), None);
+    assert_eq!(size.entries(at(0)), None);
     size.record(at(0), 0);
-    assert_eq!(size.entries(), None, "an agent that heard of no entry");
+    assert_eq!(size.entries(at(0)), None, "an agent that heard of no entry");
     size.record(at(0), 60);
     size.record(at(1_000), 3);
-    assert_eq!(size.entries(), Some(60), "an agent that has just restarted");
+    assert_eq!(
+        size.entries(at(1_000)),
+        Some(60),
+        "an agent that has just restarted"
+    );
     size.record(at(19_000), 50);
-    assert_eq!(size.entries(), Some(60));
+    assert_eq!(size.entries(at(19_000)), Some(60));
     size.record(at(21_000), 40);
-    assert_eq!(size.entries(), Some(50));
+    assert_eq!(size.entries(at(21_000)), Some(50));
     size.record(at(21_000), 70);
-    assert_eq!(size.entries(), Some(70), "growth counts at once");
+    assert_eq!(size.entries(at(21_000)), Some(70), "growth counts at once");
+}
+
+#[test]
+fn an_entry_that_was_frozen_does_not_divide_by_the_count_that_it_had() {
+    let mut size = FleetSize::default();
+    size.record(at(0), 3);
+    assert_eq!(size.entries(at(20_000)), Some(3));
+    assert_eq!(size.entries(at(20_001)), None);
+    let service: ServiceName = name("s");
+    let mut quota = quota(1_000);
+    quota.set_entries(3, at(20_000));
+    assert_eq!(quota.remaining(at(20_000), &service), SLACK / 6);
+    assert_eq!(quota.remaining(at(20_001), &service), 0);
 }
 
 const SLACK: u32 = 176;
@@ -63,7 +80,7 @@
         for start in 0..starts {
             let mut quota = quota(assumed_entries);
             if knows_count {
-                quota.set_entries(known);
+                quota.set_entries(known, at(60_000));
             }
             let now = at(u64::from(start));
             while quota.allowance(now, &service).acquire() {
--- a/crates/amaranth-dispatch/tests/retry_quota.rs
+++ b/crates/amaranth-dispatch/tests/retry_quota.rs
@@ -235,7 +235,7 @@
 fn a_changed_budget_holds_at_once_and_keeps_the_number_of_entries() {
     let service = name("s");
     let mut quota = RetryQuota::new(limits());
-    quota.set_entries(5);
+    quota.set_entries(5, at(60_000));
     assert_eq!(quota.remaining(at(0), &service), SLACK / 10);
     quota.set_limits(RetryLimits {
         slack: 20,
--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -14,7 +14,7 @@
 use amaranth_dispatch::engine_selector::Locality;
 use amaranth_dispatch::engine_view::{EngineView, LoadOutcome, LoadRequest};
 use amaranth_dispatch::exchange_policy::SHORTAGE_TIME;
-use amaranth_dispatch::fleet_size::FleetSize;
+use amaranth_dispatch::fleet_size::{COUNT_HOLD_TIME, FleetSize};
 use amaranth_dispatch::holder_ranking::{StateHolder, select_holders};
 use amaranth_dispatch::load_limiter::{LoadLimiter, LoadTicket};
 use amaranth_dispatch::retry_quota::{RetryLimits, RetryQuota};
@@ -333,8 +333,8 @@
         let now = self.now();
         let mut state = self.state();
         state.fleet_size.record(now, view.entries);
-        if let Some(entries) = state.fleet_size.entries() {
-            state.retries.set_entries(entries);
+        if let Some(entries) = state.fleet_size.entries(now) {
+            state.retries.set_entries(entries, now + COUNT_HOLD_TIME);
         }
         state.endpoints.record_view(now, id, view);
     }
--- a/crates/amaranth-relay/src/table_relay.rs
+++ b/crates/amaranth-relay/src/table_relay.rs
@@ -79,7 +79,8 @@
 
 /// Returns whether the fleet is large enough for readers.
 fn uses_readers(core: &EntryCore) -> bool {
-    let entries = core.state().fleet_size.entries();
+    let now = core.now();
+    let entries = core.state().fleet_size.entries(now);
     entries.is_some_and(|entries| entries >= MIN_ENTRIES_FOR_READERS)
 }
 
