--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -68,7 +68,9 @@
     let Some(route) = table.find(&head.host, &head.path).cloned() else {
         return Err((head, Refusal::new(RefusalCause::NoRoute)));
     };
-    let Some(service) = route.service_for(head.id.as_str()).cloned() else {
+    // A stream that is taken up goes to the service of the call that began it.
+    let seed = head.resumed_call.as_ref().unwrap_or(&head.id);
+    let Some(service) = route.service_for(seed.as_str()).cloned() else {
         return Err((head, Refusal::new(RefusalCause::NoRoute)));
     };
     if let Some(refusal) = refuse_when_stopping(core, &head, &route) {
--- a/crates/amaranth-relay/tests/relay/software_versions.rs
+++ b/crates/amaranth-relay/tests/relay/software_versions.rs
@@ -7,7 +7,7 @@
 
 use amaranth_core::ids::EndpointId;
 use amaranth_dispatch::endpoint_table::RegistryEvent;
-use amaranth_dispatch::routes::RouteKind;
+use amaranth_dispatch::routes::{RouteKind, WeightedService};
 use amaranth_relay::agent::{self, AgentCore};
 use amaranth_relay::feed::FeedEvent;
 use amaranth_relay::origin_exchange::publish_origins;
@@ -374,3 +374,42 @@
     let isolated = fleet.entry();
     assert_eq!(take_up_all(&isolated, &begun).await, 0);
 }
+
+#[tokio::test]
+async fn a_stream_that_is_taken_up_goes_to_the_service_that_began_it() {
+    let first = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Held).await;
+    let second = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Held).await;
+    let entry = TestEntry::bind();
+    let mut rule = route(RouteKind::Stream, true, 2);
+    let other = "other".parse().expect("the name is valid");
+    rule.services.push(WeightedService {
+        service: other,
+        weight: 1,
+    });
+    entry.configure(1, vec![rule.clone()]);
+    let mut announced = Vec::new();
+    for (index, engine) in [&first, &second].into_iter().enumerate() {
+        let mut record = record(index, engine.address, "");
+        record.service = rule.services[index].service.clone();
+        record.software = engine.software.parse().expect("any text is a version");
+        announced.push(RegistryEvent::Announced(Box::new(record)));
+    }
+    entry.core.apply_registry(FeedEvent::Snapshot(announced));
+    let began_at_first = |id: &str| {
+        let service = rule.service_for(id).expect("the route has services");
+        *service == rule.services[0].service
+    };
+    let ids: Vec<String> = (0..20).map(|number| format!("s{number}")).collect();
+    let began: Vec<bool> = ids.iter().map(|id| began_at_first(id)).collect();
+    assert!(began.contains(&true) && began.contains(&false));
+    for id in &ids {
+        let answer = entry.call(&take_up(&format!("again-{id}"), id)).await;
+        assert_eq!(status(&answer), "200");
+    }
+    let at_first = began.iter().filter(|began| **began).count();
+    assert_eq!(first.resumed().len(), at_first);
+    for (id, began_at_first) in ids.iter().zip(began) {
+        let again = format!("again-{id}");
+        assert_eq!(first.resumed().contains(&again), began_at_first, "{id}");
+    }
+}
