Revert reading findings from the store rarely while agents pass them on

With both agents that hold findings frozen at once, an entry would have read the store again only then, and learned of crashes ten seconds late where four are allowed.

This reverts.

--- a/crates/amaranth-relay/src/entry.rs
+++ b/crates/amaranth-relay/src/entry.rs
@@ -35,7 +35,6 @@
 use crate::endpoint_pool::EndpointPool;
 use crate::entry_stage::{EntryStage, StageCell};
 use crate::feed::FeedEvent;
-use crate::findings_exchange::FindingsLinks;
 use crate::origin_exchange::OriginExchange;
 use crate::shared_loads::{LoadKey, SharedLoads};
 use crate::suspend_clock::SuspendClock;
@@ -164,8 +163,6 @@
     pub crashes: CrashWatch,
     /// The origins of streams.
     pub origins: OriginExchange,
-    /// The exchange of findings with agents.
-    pub findings_links: FindingsLinks,
     /// Counts the changes of the findings of `quarantine`.
     pub findings_changed: watch::Sender<u64>,
     /// The stage of the process, which readiness checks report.
@@ -199,7 +196,6 @@
             loads: SharedLoads::default(),
             crashes: CrashWatch::default(),
             origins: OriginExchange::default(),
-            findings_links: FindingsLinks::default(),
             findings_changed: watch::Sender::new(0),
             stage: StageCell::default(),
             clock: SuspendClock::start(),
--- a/crates/amaranth-relay/src/feed.rs
+++ b/crates/amaranth-relay/src/feed.rs
@@ -100,11 +100,6 @@
     fn has_relay(&self) -> bool {
         false
     }
-
-    /// Returns for how long the next read may be put off.
-    fn pause(&self) -> Option<Duration> {
-        None
-    }
 }
 
 /// An observer that passes updates to a function.
@@ -149,10 +144,6 @@
             sleep(delay).await;
             continue;
         }
-        if let Some(delay) = observer.pause() {
-            sleep(delay).await;
-            continue;
-        }
         let started = Instant::now();
         let asked_at = clock.now();
         let wait = match position {
--- a/crates/amaranth-relay/src/findings_exchange.rs
+++ b/crates/amaranth-relay/src/findings_exchange.rs
@@ -1,18 +1,17 @@
 //! The exchange of findings about crashes between entries, through agents.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_core::time::{Timestamp, WallTime};
+use amaranth_core::time::WallTime;
 use amaranth_dispatch::call_quarantine::EntryFindings;
 use amaranth_dispatch::findings_hub::{FINDINGS_SEED, FindingsCursor, HubFindings, HubUpdate};
-use amaranth_dispatch::holder_ranking::{HOLDER_COPIES, rank_holders};
+use amaranth_dispatch::holder_ranking::rank_holders;
 use bytes::Bytes;
 use tokio::sync::watch;
 use tokio::time::sleep;
 
-use crate::agent_link::AgentError;
 use crate::crash_watch::apply_change;
 use crate::entry::EntryCore;
 
@@ -25,35 +24,6 @@
 /// Delay after an exchange that failed, or when no agent is known.
 const RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Time after an answer for which the exchange with an agent counts as alive.
-const LINK_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// When the agents that hold findings last answered, by rank.
-#[derive(Debug, Default)]
-pub struct FindingsLinks {
-    answered_at: Mutex<[Option<Timestamp>; HOLDER_COPIES]>,
-}
-
-impl FindingsLinks {
-    fn lock(&self) -> MutexGuard<'_, [Option<Timestamp>; HOLDER_COPIES]> {
-        self.answered_at
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    fn set(&self, rank: usize, answered_at: Option<Timestamp>) {
-        if let Some(known) = self.lock().get_mut(rank) {
-            *known = answered_at;
-        }
-    }
-
-    /// Returns whether each of the agents has answered recently.
-    pub fn are_alive(&self, now: Timestamp) -> bool {
-        let is_alive = |at: &Option<Timestamp>| at.is_some_and(|at| now.since(at) < LINK_TIMEOUT);
-        self.lock().iter().all(is_alive)
-    }
-}
-
 /// The state of the exchange with one agent.
 #[derive(Debug, Default)]
 struct HubLink {
@@ -69,7 +39,6 @@
     loop {
         let agents = rank_holders(FINDINGS_SEED, &core.holders());
         let Some(agent) = agents.get(rank).copied() else {
-            core.findings_links.set(rank, None);
             sleep(RETRY_DELAY).await;
             continue;
         };
@@ -79,27 +48,22 @@
                 ..HubLink::default()
             };
         }
-        match exchange_once(&core, agent, &mut link, &mut changes).await {
-            Ok(true) => core.findings_links.set(rank, Some(core.now())),
-            Ok(false) => {}
-            Err(error) => {
-                log::debug!("event=findings_not_exchanged error={error}");
-                core.findings_links.set(rank, None);
-                link = HubLink::default();
-                sleep(RETRY_DELAY).await;
-            }
+        if let Err(error) = exchange_once(&core, agent, &mut link, &mut changes).await {
+            log::debug!("event=findings_not_exchanged error={error}");
+            link = HubLink::default();
+            sleep(RETRY_DELAY).await;
         }
     }
 }
 
-/// Sends what the agent lacks and waits for findings that the entry lacks. Returns whether the agent
-/// answered; it does not wait for that when the entry's own findings change.
+/// Sends what the agent lacks and waits for findings that the entry lacks. Returns early when the
+/// entry's own findings change.
 async fn exchange_once(
     core: &EntryCore,
     agent: SocketAddr,
     link: &mut HubLink,
     changes: &mut watch::Receiver<u64>,
-) -> Result<bool, AgentError> {
+) -> Result<(), crate::agent_link::AgentError> {
     changes.mark_unchanged();
     let findings = core.state().quarantine.findings().clone();
     // What an earlier process of this entry sent is read before it is replaced.
@@ -119,7 +83,7 @@
         // The sender lives as long as the entry.
         _ = changes.changed(), if !is_sent && !is_first => {
             sleep(COLLECT_TIME).await;
-            return Ok(false);
+            return Ok(());
         }
     };
     if is_sent {
@@ -130,7 +94,7 @@
     }
     link.cursor = update.cursor;
     apply(core, update, is_first);
-    Ok(true)
+    Ok(())
 }
 
 fn encode(core: &EntryCore, findings: &EntryFindings) -> Option<HubFindings> {
--- a/crates/amaranth-relay/src/findings_task.rs
+++ b/crates/amaranth-relay/src/findings_task.rs
@@ -4,17 +4,15 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use amaranth_core::ids::Era;
-use amaranth_core::time::{Timestamp, WallTime};
+use amaranth_core::time::WallTime;
 use amaranth_dispatch::call_quarantine::EntryFindings;
-use amaranth_dispatch::holder_ranking::HOLDER_COPIES;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 use crate::crash_watch::apply_change;
 use crate::engine_port::PortError;
 use crate::entry::EntryCore;
-use crate::feed::{self, FeedEvent, FeedObserver, FeedOptions, FeedSource};
+use crate::feed::{self, FeedEvent, FeedOptions, FeedSource};
 use crate::findings_exchange;
 
 /// Maximum time for which a read waits for findings.
@@ -24,13 +22,6 @@
 /// has to be in force.
 const READ_INTERVAL_FRACTION: f64 = 0.8;
 
-/// Time between two reads of findings that also come through agents, shorter than the store keeps
-/// records.
-const RELAYED_INTERVAL: Duration = Duration::from_secs(10);
-
-/// Time between two checks whether findings still come through agents.
-const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(500);
-
 /// Time for which findings are collected before they are published.
 const PUBLISH_DELAY: Duration = Duration::from_millis(200);
 
@@ -80,7 +71,7 @@
 /// entry to `store`.
 pub fn spawn(
     core: &Arc<EntryCore>,
-    mut source: impl FeedSource<Item = PublishedFindings>,
+    source: impl FeedSource<Item = PublishedFindings>,
     store: impl FindingsStore,
 ) -> FindingsTasks {
     let options = FeedOptions {
@@ -88,52 +79,24 @@
         wait: READ_WAIT,
         interval: core.options.config_bound.mul_f64(READ_INTERVAL_FRACTION),
     };
-    let mut observer = FindingsObserver {
-        core: Arc::clone(core),
-        last_read_at: None,
-    };
+    let reader = Arc::clone(core);
     let (publisher, expirer) = (Arc::clone(core), Arc::clone(core));
-    let mut tasks = vec![
-        tokio::spawn(async move {
-            let clock = observer.core.clock();
-            feed::follow_with(&mut source, options, clock, &mut observer).await;
-        }),
-        tokio::spawn(async move { publish_changes(&publisher, &store).await }),
-        tokio::spawn(async move {
-            loop {
-                sleep(EXPIRY_INTERVAL).await;
-                let change = expirer.state().quarantine.expire(WallTime::now());
-                apply_change(&expirer, &change);
-            }
-        }),
-    ];
-    for rank in 0..HOLDER_COPIES {
-        tasks.push(tokio::spawn(findings_exchange::exchange(
-            Arc::clone(core),
-            rank,
-        )));
-    }
-    FindingsTasks { tasks }
-}
-
-/// Applies what is read from the store, and reads it rarely while agents pass on the same findings.
-struct FindingsObserver {
-    core: Arc<EntryCore>,
-    last_read_at: Option<Timestamp>,
-}
-
-impl FeedObserver<PublishedFindings> for FindingsObserver {
-    fn observe(&mut self, _: Timestamp, _: Era, event: Option<FeedEvent<PublishedFindings>>) {
-        self.last_read_at = Some(self.core.now());
-        if let Some(event) = event {
-            apply_event(&self.core, event);
-        }
-    }
-
-    fn pause(&self) -> Option<Duration> {
-        let now = self.core.now();
-        let is_recent = now.since(self.last_read_at?) < RELAYED_INTERVAL;
-        (is_recent && self.core.findings_links.are_alive(now)).then_some(LINK_CHECK_INTERVAL)
+    FindingsTasks {
+        tasks: vec![
+            tokio::spawn(async move {
+                feed::follow(source, options, |event| apply_event(&reader, event)).await;
+            }),
+            tokio::spawn(async move { publish_changes(&publisher, &store).await }),
+            tokio::spawn(async move {
+                loop {
+                    sleep(EXPIRY_INTERVAL).await;
+                    let change = expirer.state().quarantine.expire(WallTime::now());
+                    apply_change(&expirer, &change);
+                }
+            }),
+            tokio::spawn(findings_exchange::exchange(Arc::clone(core), 0)),
+            tokio::spawn(findings_exchange::exchange(Arc::clone(core), 1)),
+        ],
     }
 }
 
--- a/crates/amaranth-relay/tests/relay/quarantine.rs
+++ b/crates/amaranth-relay/tests/relay/quarantine.rs
@@ -1,29 +1,25 @@
 //! Calls that crash endpoints: by a part of their prompts, or each time that they are sent.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use amaranth_core::ids::Era;
 use amaranth_core::store::StorePosition;
 use amaranth_dispatch::call_quarantine::EntryFindings;
-use amaranth_dispatch::endpoint_table::RegistryEvent;
 use amaranth_dispatch::routes::RouteKind;
 use amaranth_relay::agent::{self, AgentCore};
 use amaranth_relay::engine_port::PortError;
-use amaranth_relay::feed::{FeedBatch, FeedError, FeedEvent, FeedSource};
+use amaranth_relay::feed::{FeedBatch, FeedError, FeedSource};
 use amaranth_relay::findings_task::{self, FindingsStore, FindingsTasks, PublishedFindings};
 use amaranth_relay::store_reader::{ReaderOptions, StoreReader};
 use amaranth_wire::transport::ServerHandle;
 use rstest::rstest;
-use tokio::net::TcpListener;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, interval, sleep, timeout};
 
 use crate::crashing_engines::{CRASHING_BODY, CRASHING_PART, CrashingEngines};
-use crate::support::{TEST_TIMEOUT, TestEntry, post_body, record, route, status};
+use crate::support::{TEST_TIMEOUT, TestEntry, post_body, route, status};
 
 /// Time after the fifth crash under one part, or the third under one request, from which at most three
 /// further calls may reach engines.
@@ -66,7 +62,6 @@
 #[derive(Debug, Clone, Default)]
 struct SharedTopic {
     records: Arc<Mutex<Vec<PublishedFindings>>>,
-    reads: Arc<AtomicU64>,
 }
 
 impl SharedTopic {
@@ -108,7 +103,6 @@
         position: StorePosition,
         wait: Duration,
     ) -> Result<FeedBatch<PublishedFindings>, FeedError> {
-        self.reads.fetch_add(1, Ordering::Relaxed);
         let until = Instant::now() + wait;
         while self.end() == position && Instant::now() < until {
             sleep(Duration::from_millis(5)).await;
@@ -261,53 +255,6 @@
     assert_eq!(refused, 0, "sound calls go on");
 }
 
-/// Returns how often an entry reads the topic while another one publishes each 200 ms for six seconds.
-/// The entry knows agents on `vms` VMs.
-async fn reads_beside_publications(network: &str, vms: usize) -> u64 {
-    let probe = TcpListener::bind((format!("{network}.1"), 0))
-        .await
-        .expect("loopback has a free port");
-    let port = probe
-        .local_addr()
-        .expect("the listener has an address")
-        .port();
-    drop(probe);
-    let mut agents = Vec::new();
-    let topic = SharedTopic::default();
-    let entry = TestEntry::bind_named("entry-0", port);
-    entry.configure(1, vec![route(RouteKind::Idempotent, false, 2)]);
-    let mut announced = Vec::new();
-    for index in 0..vms {
-        let address = format!("{network}.{}:{port}", index + 1);
-        let address = address.parse().expect("the address is valid");
-        agents.push(bind_agent_at(address).await);
-        let announcement = record(index, address, "");
-        announced.push(RegistryEvent::Announced(Box::new(announcement)));
-    }
-    entry.core.apply_registry(FeedEvent::Snapshot(announced));
-    let reads = topic.clone();
-    let _tasks = findings_task::spawn(&entry.core, topic.clone(), topic.clone());
-    sleep(Duration::from_millis(500)).await;
-    for _ in 0..30 {
-        topic
-            .publish("entry-1", &EntryFindings::default())
-            .await
-            .expect("the topic takes findings");
-        sleep(Duration::from_millis(200)).await;
-    }
-    reads.reads.load(Ordering::Relaxed)
-}
-
-#[tokio::test]
-async fn an_entry_reads_the_store_rarely_while_agents_pass_findings_on() {
-    let (alone, with_agents) = tokio::join!(
-        reads_beside_publications("127.0.5", 0),
-        reads_beside_publications("127.0.6", 2),
-    );
-    assert!(alone >= 4, "{alone} reads without agents");
-    assert!(with_agents <= 2, "{with_agents} reads beside agents");
-}
-
 /// A store that does not answer.
 #[derive(Debug, Clone, Copy)]
 struct AbsentStore;
@@ -379,18 +326,15 @@
 }
 
 async fn bind_agent() -> ServerHandle {
-    bind_agent_at("127.0.0.1:0".parse().expect("the address is valid")).await
-}
-
-async fn bind_agent_at(address: SocketAddr) -> ServerHandle {
     let reader = StoreReader::new(ReaderOptions {
         incarnation: 1,
         config_bound: Duration::from_secs(2),
         drain_bound: Duration::from_secs(2),
     });
-    agent::bind(Arc::new(AgentCore::default()), Arc::new(reader), address)
+    let loopback = "127.0.0.1:0".parse().expect("the address is valid");
+    agent::bind(Arc::new(AgentCore::default()), Arc::new(reader), loopback)
         .await
-        .expect("the port is free")
+        .expect("loopback has a free port")
 }
 
 #[tokio::test]
