--- /dev/null
+++ b/review/standin/main.rs
@@ -0,0 +1,25 @@
+//! Stand-ins and requesters of the review's cases. The first argument names the case, the second the
+//! file of the record. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
+
+mod http;
+mod late_extra;
+mod service;
+mod slow_readers;
+mod store;
+mod util;
+
+fn main() {
+    let arguments: Vec<String> = std::env::args().collect();
+    let [_, case, path] = &arguments[..] else {
+        eprintln!("usage: review-standin CASE RECORD");
+        std::process::exit(2);
+    };
+    util::open_record(path);
+    util::record(&format!("case {case}, disruption: {}", util::trouble()));
+    let status = match case.as_str() {
+        "late-extra" => late_extra::run(),
+        "slow-readers" => slow_readers::run(),
+        _ => util::cannot_run("no such case"),
+    };
+    std::process::exit(status);
+}
