--- a/review/standin/late_extra.rs
+++ b/review/standin/late_extra.rs
@@ -276,6 +276,7 @@
     for (id, status, text) in answers.iter().filter(|(id, ..)| id.starts_with("book")) {
         *statuses.entry(text.clone()).or_default() += 1;
         let runs = seen.runs.get(id).map_or(&[][..], |runs| runs);
+        record(&format!("{id} ran {runs:?}; answered: {text}"));
         if runs.len() > 1 {
             twice += 1;
             record(&format!("TWICE: {id} ran {}; answered: {text}", runs.join(" and ")));
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod late_extra;
 mod service;
 mod slow_readers;
+mod stop_under_load;
 mod store;
 mod util;
 
@@ -18,6 +19,7 @@
     util::record(&format!("case {case}, disruption: {}", util::trouble()));
     let status = match case.as_str() {
         "late-extra" => late_extra::run(),
+        "stop-under-load" => stop_under_load::run(),
         "slow-readers" => slow_readers::run(),
         _ => util::cannot_run("no such case"),
     };
