review: a late order is carried out by an engine that has started again

Cause: the count of accepted orders starts anew with the engine, so a late order may find its count.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -1,11 +1,12 @@
 //! Stand-ins and requesters of the review's cases. The first argument names the case, the second the
 //! file of the record. Exits with 1 if the rule was broken, 0 if it held, and 2 if the case couldn't run.
 
+mod engine;
 mod http;
 mod late_extra;
+mod late_order;
 mod service;
 mod slow_readers;
-mod stop_under_load;
 mod store;
 mod util;
 
@@ -19,7 +20,7 @@
     util::record(&format!("case {case}, disruption: {}", util::trouble()));
     let status = match case.as_str() {
         "late-extra" => late_extra::run(),
-        "stop-under-load" => stop_under_load::run(),
+        "late-order" => late_order::run(),
         "slow-readers" => slow_readers::run(),
         _ => util::cannot_run("no such case"),
     };
