review: an entry that is ready takes no new channel for seconds

Cause: channels beyond one for each 48 KiB are dropped unread, and readiness does not follow. Change: review/4, a script with 560 requesters that keep channels, and 1.7 times as many for 3 s.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -3,6 +3,7 @@
 
 mod engine;
 mod http;
+mod kept_channels;
 mod late_extra;
 mod late_order;
 mod service;
@@ -21,6 +22,7 @@
     let status = match case.as_str() {
         "late-extra" => late_extra::run(),
         "late-order" => late_order::run(),
+        "kept-channels" => kept_channels::run(),
         "slow-readers" => slow_readers::run(),
         _ => util::cannot_run("no such case"),
     };
