--- a/review/standin/engine.rs
+++ b/review/standin/engine.rs
@@ -28,7 +28,10 @@
     pub id: &'static str,
     pub ip: &'static str,
     pub service: &'static str,
-    pub model: &'static str,
+    pub zone: &'static str,
+    /// The models of the service with the size of their weights, and the memory for weights, in MB.
+    pub models: &'static [(&'static str, u64)],
+    pub mb: u64,
     pub slots: usize,
     pub adapter_slots: usize,
     /// The events of a stream, and the time between two of them.
@@ -44,6 +47,10 @@
     pub begun_at: u64,
 }
 
+const ACCEPTED: &str = "HTTP/1.1 202 Accepted";
+const HELD: &str = "HTTP/1.1 200 OK";
+const CONFLICT: &str = "HTTP/1.1 409 Conflict";
+
 /// The newest version of each adapter that the operator named.
 pub type Versions = Arc<Mutex<HashMap<String, u64>>>;
 
@@ -53,20 +60,28 @@
     priority: u64,
 }
 
+#[derive(Debug, Clone)]
+struct Running {
+    request: String,
+    adapter: (String, String),
+    events: u64,
+}
+
 #[derive(Default)]
 struct State {
-    adapters: BTreeMap<String, u64>,
+    /// The models that the engine holds, and the one that it loads with the time of the end.
+    models: Vec<String>,
+    loading: Option<(String, u64)>,
+    /// The adapters that it holds, by model and name, with their version.
+    adapters: BTreeMap<(String, String), u64>,
     /// The adapters on their way, with their version and the time at which they are there. A time of
     /// nothing stands for a replacement that waits for its runs.
-    coming: BTreeMap<String, (u64, Option<u64>)>,
+    coming: BTreeMap<(String, String), (u64, Option<u64>)>,
     orders: u64,
     waiting: Vec<Waiting>,
-    running: HashMap<u64, (String, String, u64)>,
+    running: HashMap<u64, Running>,
     last_number: u64,
     begun: Vec<Begun>,
-    /// Whether the engine holds its model, and when the load of the model ends.
-    has_model: bool,
-    model_at: Option<u64>,
     /// The start of the engine, in Unix milliseconds, and the number of its starts.
     born: u64,
     starts: u64,
@@ -81,26 +96,26 @@
     pub rule: EngineRule,
     pub address: SocketAddr,
     versions: Versions,
+    store: Store,
+    announcements: Arc<Mutex<u64>>,
     state: Arc<(Mutex<State>, Condvar)>,
 }
 
 impl Engine {
-    /// Starts an engine that holds its model and these adapters, and announces itself in the store.
-    pub fn start(store: &Store, rule: EngineRule, versions: &Versions, held: &[&str]) -> Self {
+    /// Starts an engine that holds a model, and announces itself in the store.
+    pub fn start(store: &Store, rule: EngineRule, versions: &Versions, held: &str) -> Self {
         let listener =
             TcpListener::bind((rule.ip, 0)).unwrap_or_else(|error| cannot_run(&error.to_string()));
         let engine = Self {
             address: listener.local_addr().unwrap(),
             rule,
             versions: Arc::clone(versions),
+            store: store.clone(),
+            announcements: Arc::default(),
             state: Arc::default(),
         };
-        engine.lock().has_model = true;
+        engine.lock().models.push(held.to_owned());
         engine.lock().born = unix_ms();
-        for adapter in held {
-            let version = engine.newest(adapter);
-            engine.lock().adapters.insert((*adapter).to_owned(), version);
-        }
         let serving = engine.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -110,14 +125,10 @@
                 });
             }
         });
-        let (beating, store) = (engine.clone(), store.clone());
-        std::thread::spawn(move || {
-            for seq in 1_u64.. {
-                if !beating.lock().is_down {
-                    store.put("keyed.servers", beating.rule.id, &beating.entry(seq));
-                }
-                sleep_ms(1_200);
-            }
+        let beating = engine.clone();
+        std::thread::spawn(move || loop {
+            beating.announce();
+            sleep_ms(1_200);
         });
         let loading = engine.clone();
         std::thread::spawn(move || loop {
@@ -127,6 +138,14 @@
         engine
     }
 
+    fn announce(&self) {
+        let mut seq = self.announcements.lock().unwrap();
+        if !self.lock().is_down {
+            *seq += 1;
+            self.store.put("keyed.servers", self.rule.id, &self.entry(*seq));
+        }
+    }
+
     pub fn begun(&self) -> Vec<Begun> {
         self.lock().begun.clone()
     }
@@ -161,7 +180,9 @@
         let mut state = self.lock();
         state.is_down = false;
         state.born = unix_ms();
+        drop(state);
         record(&format!("{} has started again under its id, empty", self.rule.id));
+        self.announce();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -173,29 +194,26 @@
     }
 
     fn models(&self, state: &State) -> String {
-        let adapters: Vec<String> = state
-            .adapters
-            .iter()
-            .map(|(name, version)| format!("\"{name}@{version}\""))
-            .collect();
-        if !state.has_model {
-            return "[]".to_owned();
-        }
-        format!(
-            "[{{\"name\":\"{}\",\"version\":1,\"adapters\":[{}]}}]",
-            self.rule.model,
-            adapters.join(",")
-        )
+        let models = state.models.iter().map(|model| {
+            let adapters = state.adapters.iter().filter(|((of, _), _)| of == model);
+            let adapters = adapters.map(|((_, name), version)| format!("\"{name}@{version}\""));
+            format!(
+                "{{\"name\":\"{model}\",\"version\":1,\"adapters\":[{}]}}",
+                adapters.collect::<Vec<_>>().join(",")
+            )
+        });
+        format!("[{}]", models.collect::<Vec<_>>().join(","))
     }
 
     fn entry(&self, seq: u64) -> String {
         let (rule, state) = (&self.rule, self.lock());
         format!(
-            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"z1\",\"version\":\"v1\",\"slots\":{},\
+            "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":{},\
              \"state\":\"ready\",\"cold_ms\":0,\"stage\":\"colocated\",\"models\":{},\"seq\":{seq},\
              \"born\":{}}}",
             rule.service,
             self.address,
+            rule.zone,
             rule.slots,
             self.models(&state),
             state.born
@@ -207,18 +225,18 @@
         let coming: Vec<String> = state
             .coming
             .iter()
-            .map(|(name, (version, _))| format!("\"{}/{name}@{version}\"", self.rule.model))
+            .map(|((model, name), (version, _))| format!("\"{model}/{name}@{version}\""))
             .collect();
         let runs: Vec<String> = state
             .running
             .values()
-            .map(|(id, _, events)| format!("[\"{id}\",100,{events},0]"))
+            .map(|run| format!("[\"{}\",100,{},0]", run.request, run.events))
             .collect();
         format!(
             "{{\"stage\":\"colocated\",\"models\":{},\"busy\":{},\"seq\":{},\"queued\":{},\"active\":{},\
              \"kv_used\":{},\"kv_total\":100000,\"handles\":0,\"coming\":[{}],\"runs\":[{}],\"born\":{}}}",
             self.models(&state),
-            state.model_at.is_some(),
+            state.loading.is_some(),
             state.orders,
             state.waiting.len(),
             state.running.len(),
@@ -233,12 +251,12 @@
     fn end_loads(&self) {
         let mut state = self.lock();
         let now = now_ms();
-        if state.model_at.is_some_and(|at| at <= now) {
-            state.model_at = None;
-            state.has_model = true;
+        if let Some((model, _)) = state.loading.take_if(|(_, at)| *at <= now) {
+            record(&format!("{}: holds {model}", self.rule.id));
+            state.models.push(model);
         }
         let mut ended = Vec::new();
-        let used: Vec<String> = state.running.values().map(|(_, name, _)| name.clone()).collect();
+        let used: Vec<_> = state.running.values().map(|run| run.adapter.clone()).collect();
         for (name, (version, at)) in &mut state.coming {
             match at {
                 None if !used.contains(name) => *at = Some(now + LOAD_MS),
@@ -248,7 +266,7 @@
         }
         for (name, version) in ended {
             state.coming.remove(&name);
-            record(&format!("{}: holds {name}@{version}", self.rule.id));
+            record(&format!("{}: holds {}/{}@{version}", self.rule.id, name.0, name.1));
             state.adapters.insert(name, version);
         }
     }
@@ -314,10 +332,7 @@
     }
 
     fn order(&self, request: &Message) -> &'static str {
-        const ACCEPTED: &str = "HTTP/1.1 202 Accepted";
-        const HELD: &str = "HTTP/1.1 200 OK";
-        const CONFLICT: &str = "HTTP/1.1 409 Conflict";
-        let body = String::from_utf8_lossy(&request.body).into_owned();
+                                let body = String::from_utf8_lossy(&request.body).into_owned();
         record(&format!("{}: order {body}", self.rule.id));
         if request.header("x-expect-instance").is_some_and(|expected| expected != self.rule.id) {
             return "HTTP/1.1 421 Misdirected Request";
@@ -327,23 +342,32 @@
             return "HTTP/1.1 503 Service Unavailable";
         }
         let expected = json_number(&body, "expected_rev");
-        if state.model_at.is_some() || expected.is_some_and(|expected| expected != state.orders) {
+        if state.loading.is_some() || expected.is_some_and(|expected| expected != state.orders) {
             return CONFLICT;
         }
-        let Some(adapter) = json_text(&body, "adapter") else {
-            if state.has_model {
+        let model = json_text(&body, "model").unwrap_or_default();
+        let has_model = state.models.contains(&model);
+        let Some(name) = json_text(&body, "adapter") else {
+            if has_model {
                 return HELD;
             }
-            state.model_at = Some(now_ms() + MODEL_LOAD_MS);
+            let size = |wanted: &str| self.rule.models.iter().find(|(name, _)| *name == wanted);
+            let needed = state.models.iter().map(String::as_str).chain([&*model]);
+            let needed: u64 = needed.filter_map(size).map(|(_, mb)| mb).sum();
             state.orders += 1;
+            if needed > self.rule.mb {
+                return self.overload(state, &model);
+            }
+            state.loading = Some((model, now_ms() + MODEL_LOAD_MS));
             return ACCEPTED;
         };
-        if !state.has_model {
+        if !has_model {
             return "HTTP/1.1 400 Bad Request";
         }
-        let version = json_number(&body, "version").unwrap_or_else(|| self.newest(&adapter));
+        let adapter = (model, name);
+        let version = json_number(&body, "version").unwrap_or_else(|| self.newest(&adapter.1));
         if json_text(&body, "operation").as_deref() == Some("model_unload") {
-            let is_used = state.running.values().any(|(_, used, _)| *used == adapter);
+            let is_used = state.running.values().any(|run| run.adapter == adapter);
             if is_used || state.adapters.remove(&adapter).is_none() {
                 return CONFLICT;
             }
@@ -357,15 +381,7 @@
         }
         let replaces = state.adapters.contains_key(&adapter);
         if !replaces && state.adapters.len() + state.coming.len() >= self.rule.adapter_slots {
-            state.overloads += 1;
-            record(&format!(
-                "LIMIT: {} holds {:?}, {:?} are coming, and it is ordered to load {adapter} at {} orders",
-                self.rule.id, state.adapters, state.coming, state.orders
-            ));
-            drop(state);
-            let engine = self.clone();
-            std::thread::spawn(move || engine.crash(1_000));
-            return ACCEPTED;
+            return self.overload(state, &adapter.1);
         }
         let at = (!replaces).then(|| now_ms() + LOAD_MS);
         state.coming.insert(adapter, (version, at));
@@ -373,11 +389,28 @@
         ACCEPTED
     }
 
+    /// Accepts an order to load more than the engine holds, under which it crashes.
+    fn overload(&self, mut state: MutexGuard<'_, State>, wanted: &str) -> &'static str {
+        state.overloads += 1;
+        record(&format!(
+            "LIMIT: {} holds {:?} and {:?}, {:?} are coming, and it is ordered to load {wanted}",
+            self.rule.id,
+            state.models,
+            state.adapters.keys().collect::<Vec<_>>(),
+            state.coming.keys().collect::<Vec<_>>()
+        ));
+        drop(state);
+        let engine = self.clone();
+        std::thread::spawn(move || engine.crash(1_000));
+        ACCEPTED
+    }
+
     /// Answers a generation with a stream of events.
     fn generate(&self, request: &Message, writer: &mut TcpStream) -> io::Result<()> {
         let id = request.header("x-request-id").unwrap_or("").to_owned();
         let model = request.header("x-model").unwrap_or("");
-        let adapter = model.split_once('/').map_or("", |(_, adapter)| adapter).to_owned();
+        let (model, name) = model.split_once('/').unwrap_or((model, ""));
+        let adapter = (model.to_owned(), name.to_owned());
         let number = |name| request.header(name).and_then(|value: &str| value.parse::<u64>().ok());
         let mut own = vec![
             ("X-Request-Id", id.clone()),
@@ -402,7 +435,7 @@
         };
         self.lock().begun.push(Begun {
             request: id.clone(),
-            adapter: adapter.clone(),
+            adapter: adapter.1.clone(),
             begun_at: now_ms(),
         });
         let streamed = self.stream(place, version, &own, writer);
@@ -435,7 +468,7 @@
                 return Err(io::ErrorKind::ConnectionAborted.into());
             }
             if let Some(run) = self.lock().running.get_mut(&place) {
-                run.2 = event;
+                run.events = event;
             }
             let text = format!("id: {event}\ndata: word of version {version}\n\n");
             writer.write_all(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
@@ -448,7 +481,7 @@
     /// nothing if the request is rejected.
     fn await_place(
         &self,
-        adapter: &str,
+        adapter: &(String, String),
         priority: u64,
         id: &str,
         channel: &TcpStream,
@@ -478,7 +511,8 @@
             }
             if let (true, Some(version)) = (is_first && state.running.len() < self.rule.slots, held) {
                 state.waiting.retain(|one| one.number != number);
-                let run = (id.to_owned(), adapter.to_owned(), 0);
+                let (request, adapter) = (id.to_owned(), adapter.clone());
+                let run = Running { request, adapter, events: 0 };
                 state.running.insert(number, run);
                 self.state.1.notify_all();
                 return Ok(Some((number, version)));
--- a/review/standin/late_order.rs
+++ b/review/standin/late_order.rs
@@ -60,13 +60,15 @@
             id,
             ip,
             service,
-            model: "m0",
+            zone: "z1",
+            models: &[("m0", 34_000)],
+            mb: 35_000,
             slots: 96,
             adapter_slots: USUAL.len(),
             events: 10,
             event_ms: 50,
         };
-        let engine = Engine::start(&store, rule, &versions, &[]);
+        let engine = Engine::start(&store, rule, &versions, "m0");
         let text = settings(node, "side", ip, Some(engine.address));
         programs.push(Program::start(&dir, "agent", node, &text));
         engines.push(engine);
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod kept_channels;
 mod late_extra;
 mod late_order;
+mod second_model;
 mod service;
 mod slow_readers;
 mod store;
@@ -23,6 +24,7 @@
         "late-extra" => late_extra::run(),
         "late-order" => late_order::run(),
         "kept-channels" => kept_channels::run(),
+        "second-model" => second_model::run(),
         "slow-readers" => slow_readers::run(),
         _ => util::cannot_run("no such case"),
     };
