--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -20,7 +20,7 @@
     };
     util::open_record(path);
     util::record(&format!("case {case}, disruption: {}", util::trouble()));
-    let status = match case.as_str() {
+    let run = || match case.as_str() {
         "late-extra" => late_extra::run(),
         "late-order" => late_order::run(),
         "kept-channels" => kept_channels::run(),
@@ -28,5 +28,9 @@
         "slow-readers" => slow_readers::run(),
         _ => util::cannot_run("no such case"),
     };
+    let status = std::panic::catch_unwind(run).unwrap_or_else(|_| {
+        util::end_programs();
+        2
+    });
     std::process::exit(status);
 }
--- a/review/standin/util.rs
+++ b/review/standin/util.rs
@@ -5,12 +5,15 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, OnceLock};
+use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 static START: OnceLock<Instant> = OnceLock::new();
 static RECORD: OnceLock<Mutex<File>> = OnceLock::new();
 
+/// The programs that were started.
+static STARTED: Mutex<Vec<Arc<Mutex<Child>>>> = Mutex::new(Vec::new());
+
 /// Milliseconds since the start of the script.
 pub fn now_ms() -> u64 {
     START.get_or_init(Instant::now).elapsed().as_millis() as u64
@@ -42,13 +45,28 @@
     }
 }
 
-/// Ends the script because the case could not run.
+/// Ends the script, and the programs that it started, because the case could not run.
 pub fn cannot_run(reason: &str) -> ! {
     record(&format!("the case could not run: {reason}"));
     eprintln!("the case could not run: {reason}");
+    end_programs();
     std::process::exit(2);
 }
 
+/// Ends the programs that still run.
+pub fn end_programs() {
+    if let Ok(started) = STARTED.lock() {
+        started.iter().for_each(end);
+    }
+}
+
+fn end(child: &Arc<Mutex<Child>>) {
+    if let Ok(mut child) = child.lock() {
+        let _ = child.kill();
+        let _ = child.wait();
+    }
+}
+
 /// Returns whether the script plays the disruption.
 pub fn trouble() -> bool {
     std::env::var("TROUBLE").map(|value| value != "0").unwrap_or(true)
@@ -85,7 +103,7 @@
 
 /// A program of the project, started with a command of the deploy file.
 pub struct Program {
-    child: Child,
+    child: Arc<Mutex<Child>>,
     pub log: PathBuf,
 }
 
@@ -108,6 +126,8 @@
             .stderr(output)
             .spawn()
             .unwrap_or_else(|error| cannot_run(&format!("amaranth-platform: {error}")));
+        let child = Arc::new(Mutex::new(child));
+        STARTED.lock().unwrap().push(Arc::clone(&child));
         record(&format!("started {role} as {name}"));
         Self {
             child,
@@ -117,12 +137,11 @@
 
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        matches!(self.child.lock().unwrap().try_wait(), Ok(None))
     }
 
     pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        end(&self.child);
     }
 
     /// Returns the lines of the program's log that hold a text.
