Log what ties an endpoint's refusal to the call that it answers

Cause: the log did not tell the hypotheses about refused and run bookings apart. A refusal by an endpoint was logged without its status, its connection, or whether it names the call, and a killed process lost the lines of 200 ms.

Change: endpoint_refusal and endpoint_failure give the status, what the head states, whether it names the call and is complete, the number of the connection, its sends, and those of the call on it. Lines are collected for 50 ms.

--- a/crates/amaranth-relay/src/endpoint_pool.rs
+++ b/crates/amaranth-relay/src/endpoint_pool.rs
@@ -1,11 +1,14 @@
 //! A pool of HTTP connections to endpoints. A connection carries one call at a time.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use amaranth_dispatch::call::CallId;
 use bytes::Bytes;
 use http::{Request, Response};
 use http_body_util::Full;
@@ -16,6 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout};
 
+use crate::carried_calls::CarriedCalls;
 use crate::endpoint_body::EndpointBody;
 use crate::limited_stream::{LimitedStream, ReadAllowance, WriteBacklog};
 
@@ -62,15 +66,46 @@
     Ambiguous(hyper::Error),
 }
 
-/// A connection that carries one call. Dropping the connection closes it, which cancels the call.
+/// The number of a connection, by which the log tells connections apart.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionNumber(u64);
+
+impl fmt::Display for ConnectionNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(formatter)
+    }
+}
+
+impl ConnectionNumber {
+    fn next() -> Self {
+        static LAST: AtomicU64 = AtomicU64::new(0);
+        Self(LAST.fetch_add(1, Ordering::Relaxed) + 1)
+    }
+}
+
+/// An open connection, idle or in use.
 #[derive(Debug)]
-pub struct EndpointConnection {
-    sender: Option<SendRequest<Full<Bytes>>>,
+struct Channel {
+    number: ConnectionNumber,
+    sender: SendRequest<Full<Bytes>>,
     allowance: ReadAllowance,
     backlog: WriteBacklog,
     driver: AbortHandle,
-    address: SocketAddr,
     idle_limit: Duration,
+    carried: CarriedCalls,
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
+/// A connection that carries one call. Dropping the connection closes it, which cancels the call.
+#[derive(Debug)]
+pub struct EndpointConnection {
+    channel: Channel,
+    address: SocketAddr,
 }
 
 impl EndpointConnection {
@@ -83,14 +118,13 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<EndpointBody>, SendError> {
-        let Some(sender) = &mut self.sender else {
-            return Err(SendError::NotSent);
-        };
-        if sender.ready().await.is_err() {
+        let channel = &mut self.channel;
+        if channel.sender.ready().await.is_err() {
             return Err(SendError::NotSent);
         }
-        self.allowance.set(MAX_HEAD_BYTES);
-        let response = sender
+        channel.allowance.set(MAX_HEAD_BYTES);
+        let response = channel
+            .sender
             .try_send_request(request)
             .await
             .map_err(|mut error| {
@@ -100,38 +134,41 @@
                     SendError::Ambiguous(error.into_error())
                 }
             })?;
-        Ok(response.map(|body| EndpointBody::new(body, self.allowance.clone())))
+        Ok(response.map(|body| EndpointBody::new(body, channel.allowance.clone())))
+    }
+
+    /// Returns the number of the connection.
+    pub const fn number(&self) -> ConnectionNumber {
+        self.channel.number
+    }
+
+    /// Records that a call is about to be sent on the connection.
+    pub fn record_call(&mut self, call: &CallId) {
+        self.channel.carried.record(call);
+    }
+
+    /// Returns the calls that were sent on the connection.
+    pub const fn carried(&self) -> &CarriedCalls {
+        &self.channel.carried
     }
 
     /// Records the idle timeout that the endpoint states for the connection.
     pub fn record_keep_alive(&mut self, stated: Option<Duration>) {
         if let Some(stated) = stated {
-            self.idle_limit = stated.mul_f64(IDLE_TIMEOUT_FRACTION);
-        }
-    }
-}
-
-impl Drop for EndpointConnection {
-    fn drop(&mut self) {
-        if self.sender.is_some() {
-            self.driver.abort();
+            self.channel.idle_limit = stated.mul_f64(IDLE_TIMEOUT_FRACTION);
         }
     }
 }
 
 #[derive(Debug)]
 struct IdleConnection {
-    sender: SendRequest<Full<Bytes>>,
-    allowance: ReadAllowance,
-    backlog: WriteBacklog,
-    driver: AbortHandle,
+    channel: Channel,
     since: Instant,
-    idle_limit: Duration,
 }
 
 impl IdleConnection {
     fn is_usable(&self, now: Instant) -> bool {
-        !self.sender.is_closed() && now.duration_since(self.since) < self.idle_limit
+        !self.channel.sender.is_closed() && now.duration_since(self.since) < self.channel.idle_limit
     }
 }
 
@@ -182,35 +219,30 @@
             // The caller of `send` receives the error; it matters to no one else.
             let _ = connection.await;
         });
-        Ok(EndpointConnection {
-            sender: Some(sender),
+        let channel = Channel {
+            number: ConnectionNumber::next(),
+            sender,
             allowance,
             backlog,
             driver: driver.abort_handle(),
-            address,
             idle_limit: DEFAULT_IDLE_LIMIT,
-        })
+            carried: CarriedCalls::default(),
+        };
+        Ok(EndpointConnection { channel, address })
     }
 
     /// Returns a connection to the pool. Its last answer must have been read to the end. An endpoint
     /// may answer before it has read the call: such a connection is closed.
-    pub fn release(&self, mut connection: EndpointConnection) {
-        let Some(sender) = connection.sender.take() else {
-            return;
-        };
+    pub fn release(&self, connection: EndpointConnection) {
+        let EndpointConnection { channel, address } = connection;
         let mut idle = self.lock();
-        let list = idle.entry(connection.address).or_default();
-        if list.len() >= MAX_IDLE || sender.is_closed() || connection.backlog.is_waiting() {
-            connection.driver.abort();
+        let list = idle.entry(address).or_default();
+        if list.len() >= MAX_IDLE || channel.sender.is_closed() || channel.backlog.is_waiting() {
             return;
         }
         list.push(IdleConnection {
-            sender,
-            allowance: connection.allowance.clone(),
-            backlog: connection.backlog.clone(),
-            driver: connection.driver.clone(),
+            channel,
             since: Instant::now(),
-            idle_limit: connection.idle_limit,
         });
     }
 
@@ -219,13 +251,7 @@
         let now = Instant::now();
         let mut idle = self.lock();
         for list in idle.values_mut() {
-            list.retain(|connection| {
-                let usable = connection.is_usable(now);
-                if !usable {
-                    connection.driver.abort();
-                }
-                usable
-            });
+            list.retain(|connection| connection.is_usable(now));
         }
         idle.retain(|_, list| !list.is_empty());
     }
@@ -236,16 +262,9 @@
         let list = idle.get_mut(&address)?;
         while let Some(connection) = list.pop() {
             if connection.is_usable(now) {
-                return Some(EndpointConnection {
-                    sender: Some(connection.sender),
-                    allowance: connection.allowance,
-                    backlog: connection.backlog,
-                    driver: connection.driver,
-                    address,
-                    idle_limit: connection.idle_limit,
-                });
+                let channel = connection.channel;
+                return Some(EndpointConnection { channel, address });
             }
-            connection.driver.abort();
         }
         None
     }
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -10,7 +10,7 @@
 use amaranth_dispatch::endpoint_table::{EndpointChange, EndpointOutcome};
 use amaranth_dispatch::memory_budget::HoldPurpose;
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use tokio::time::{Instant, timeout_at};
 
@@ -121,6 +121,7 @@
         record_origin(core, &call.head.id, software, history.sends())
     });
     let sent_at = core.now();
+    connection.record_call(&call.head.id);
     let sending = connection.send(request);
     let response = match wait_for_head(core, call, &guard, history, position, sending).await {
         HeadWait::Received(Ok(response)) => response,
@@ -232,9 +233,12 @@
         .is_some_and(|id| id != call.head.id.as_str());
     if is_other_call || metadata.is_encoded {
         log::warn!(
-            "event=foreign_answer id={} endpoint={}",
+            "event=foreign_answer id={} endpoint={} status={} connection={} connection_sends={}",
             call.head.id,
-            guard.endpoint()
+            guard.endpoint(),
+            parts.status.as_u16(),
+            connection.number(),
+            connection.carried().sends()
         );
         guard.set_outcome(EndpointOutcome::Failed);
         return Err(FailedSend::without_answer(SendFailure::Ambiguous));
@@ -264,18 +268,22 @@
     }
     let status = response.status();
     let full_answer = read_full_answer(call, response).await.ok();
+    log_failure(
+        call,
+        &connection,
+        &guard,
+        FailureLine {
+            status,
+            metadata: &metadata,
+            is_complete: full_answer.is_some(),
+        },
+    );
     match &full_answer {
         Some(_) => core.pool.release(connection),
         None => drop(connection),
     }
     if failure == SendFailure::Failed {
         guard.set_outcome(EndpointOutcome::Failed);
-        log::info!(
-            "event=endpoint_failure id={} endpoint={} status={}",
-            call.head.id,
-            guard.endpoint(),
-            status.as_u16()
-        );
     }
     let answer = full_answer.filter(|_| metadata.authenticated);
     let failure = match (failure, &answer) {
@@ -285,6 +293,44 @@
     Err(FailedSend { failure, answer })
 }
 
+/// What the log tells of an answer that is not a success.
+struct FailureLine<'a> {
+    status: StatusCode,
+    metadata: &'a AnswerMetadata,
+    is_complete: bool,
+}
+
+/// Logs an answer that is not a success, with what ties it to the call.
+fn log_failure(
+    call: &RoutedCall,
+    connection: &EndpointConnection,
+    guard: &SendGuard,
+    line: FailureLine<'_>,
+) {
+    let FailureLine {
+        status,
+        metadata,
+        is_complete,
+    } = line;
+    let event = if metadata.not_run || metadata.misdirected {
+        "endpoint_refusal"
+    } else {
+        "endpoint_failure"
+    };
+    log::info!(
+        "event={event} id={} endpoint={} status={} stated_not_run={} authenticated={} names_call={} complete={is_complete} connection={} connection_sends={} call_sends={}",
+        call.head.id,
+        guard.endpoint(),
+        status.as_u16(),
+        metadata.not_run,
+        metadata.authenticated,
+        metadata.call_id.is_some(),
+        connection.number(),
+        connection.carried().sends(),
+        connection.carried().sends_of(&call.head.id)
+    );
+}
+
 /// Records what an endpoint states about itself in the head of any answer: that it is leaving, or
 /// that it wants a pause.
 fn record_wishes(core: &EntryCore, endpoint: &EndpointId, metadata: &AnswerMetadata) {
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod call_task;
 pub mod caller_memory;
 pub mod caller_server;
+pub mod carried_calls;
 pub mod crash_watch;
 pub mod endpoint_body;
 pub mod endpoint_pool;
--- a/crates/amaranth-telemetry/src/log_writer.rs
+++ b/crates/amaranth-telemetry/src/log_writer.rs
@@ -9,8 +9,9 @@
 /// Capacity of the queue of lines to be written. When it is full, lines are dropped and counted.
 const MAX_QUEUED_LINES: usize = 4_096;
 
-/// Time for which lines are collected, so that many share one write.
-const WRITE_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which lines are collected, so that many share one write. A process that is killed loses the
+/// lines of this time.
+const WRITE_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The sending half of the log writer.
 #[derive(Debug, Clone)]
