Add failing tests of refusals that are believed without evidence

Cause: an endpoint's refusal is believed if its head states that nothing ran or has status 421, whatever ties it to the send; and an endpoint's own failure is passed on also if its status promises that nothing ran.

The refusals of the test support name their call now, as endpoints do; before, the support wrote refusals without an id. The tests that use them are otherwise unchanged.

--- a/crates/amaranth-relay/tests/relay/calls.rs
+++ b/crates/amaranth-relay/tests/relay/calls.rs
@@ -63,7 +63,7 @@
 
 #[tokio::test]
 async fn a_non_idempotent_call_that_an_endpoint_did_not_run_is_retried_at_another() {
-    let busy = FakeEndpoint::bind(vec![Reply::Write(not_run())]).await;
+    let busy = FakeEndpoint::bind(vec![Reply::Write(not_run("c1"))]).await;
     let other =
         FakeEndpoint::bind(vec![Reply::Write(complete_answer("200 OK", "c1", "once"))]).await;
     let entry = TestEntry::serving(route(RouteKind::NonIdempotent, false, 1), &[&busy, &other]);
@@ -74,7 +74,7 @@
 
 #[tokio::test]
 async fn a_non_idempotent_call_that_no_endpoint_ran_is_refused_with_a_retry_delay() {
-    let busy = FakeEndpoint::bind(vec![Reply::Write(not_run())]).await;
+    let busy = FakeEndpoint::bind(vec![Reply::Write(not_run("c1"))]).await;
     let entry = TestEntry::serving(route(RouteKind::NonIdempotent, false, 1), &[&busy]);
     let answer = entry.call(&post("c1", "")).await;
     assert_eq!(status(&answer), "503");
@@ -289,7 +289,7 @@
 /// The registry still lists an endpoint that has ended, and another endpoint now has its address.
 #[tokio::test]
 async fn an_endpoint_whose_address_was_reused_is_called_once() {
-    let other = "HTTP/1.1 421 Other\r\nBy: e9\r\nContent-Length: 0\r\n\r\n".to_owned();
+    let other = "HTTP/1.1 421 Other\r\nCall: c1\r\nBy: e9\r\nContent-Length: 0\r\n\r\n".to_owned();
     let ended = FakeEndpoint::bind(vec![Reply::Write(other)]).await;
     let healthy = FakeEndpoint::bind(vec![
         Reply::Write(complete_answer("200 OK", "c1", "one")),
--- a/crates/amaranth-relay/tests/relay/endpoint_wishes.rs
+++ b/crates/amaranth-relay/tests/relay/endpoint_wishes.rs
@@ -23,8 +23,8 @@
 #[rstest]
 #[case::success(complete_answer("200 OK", "c1", "done"))]
 #[case::failure(complete_answer("500 Oops", "c1", "oops"))]
-#[case::refusal("HTTP/1.1 503 Busy\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n".to_owned())]
-#[case::misdirected("HTTP/1.1 421 Other\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n".to_owned())]
+#[case::refusal("HTTP/1.1 503 Busy\r\nCall: c1\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n".to_owned())]
+#[case::misdirected("HTTP/1.1 421 Other\r\nCall: c1\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n".to_owned())]
 #[case::without_proof("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno".to_owned())]
 #[case::stream_head(stream_head("c1") + &event(1) + LAST_CHUNK)]
 #[tokio::test]
@@ -46,7 +46,7 @@
 
 #[tokio::test]
 async fn an_endpoint_that_asks_for_a_pause_gets_no_call_before_its_end() {
-    let refusal = "HTTP/1.1 503 Busy\r\nUntouched: 1\r\nPause-Ms: 600\r\nContent-Length: 0\r\n\r\n";
+    let refusal = "HTTP/1.1 503 Busy\r\nCall: c1\r\nUntouched: 1\r\nPause-Ms: 600\r\nContent-Length: 0\r\n\r\n";
     let endpoint = FakeEndpoint::bind(vec![
         Reply::Write(refusal.to_owned()),
         Reply::Write(complete_answer("200 OK", "c2", "back")),
@@ -72,7 +72,7 @@
 
 #[tokio::test]
 async fn a_generation_is_refused_at_once_while_all_engines_are_paused() {
-    let refusal = "HTTP/1.1 503 Busy\r\nUntouched: 1\r\nPause-Ms: 900\r\nContent-Length: 0\r\n\r\n";
+    let refusal = "HTTP/1.1 503 Busy\r\nCall: c1\r\nUntouched: 1\r\nPause-Ms: 900\r\nContent-Length: 0\r\n\r\n";
     let endpoint = FakeEndpoint::bind(vec![Reply::Write(refusal.to_owned())]).await;
     let entry = TestEntry::serving(route(RouteKind::Stream, false, 1), &[&endpoint]);
     entry.call(&post("c1", "Wants: m\r\n")).await;
--- a/crates/amaranth-relay/tests/relay/main.rs
+++ b/crates/amaranth-relay/tests/relay/main.rs
@@ -12,6 +12,7 @@
 mod quarantine;
 mod quotas;
 mod readers;
+mod refusals;
 mod slow_peers;
 mod software_versions;
 mod store_histories;
--- a/crates/amaranth-relay/tests/relay/quotas.rs
+++ b/crates/amaranth-relay/tests/relay/quotas.rs
@@ -317,7 +317,7 @@
 /// Fails if calls that no endpoint ran use up the quota of their team.
 #[tokio::test]
 async fn calls_that_did_not_run_are_refunded() {
-    let fleet = QuotaFleet::spawn("127.0.37", Reply::Write(not_run())).await;
+    let fleet = QuotaFleet::spawn("127.0.37", Reply::Write(not_run("c1"))).await;
     let team = team("red", LIMIT);
     let entry = fleet.entry(vec![team.clone()]);
     sleep(SETTLE_TIME).await;
--- a/crates/amaranth-relay/tests/relay/software_versions.rs
+++ b/crates/amaranth-relay/tests/relay/software_versions.rs
@@ -488,7 +488,7 @@
     let engines = fleet.engines.iter().enumerate();
     let mut same = engines.filter(|(_, engine)| engine.software == version);
     let (index, _) = same.next().expect("an engine has the version");
-    let refusing = FakeEndpoint::bind(vec![Reply::Write(not_run())]).await;
+    let refusing = FakeEndpoint::bind(vec![Reply::Write(not_run("again"))]).await;
     let mut record = record(index, refusing.address, DATA_CENTRES[0]);
     record.software = version.parse().expect("any text is a version");
     record.sequence = 2;
--- a/crates/amaranth-relay/tests/relay/streams.rs
+++ b/crates/amaranth-relay/tests/relay/streams.rs
@@ -102,7 +102,7 @@
 async fn a_stream_resumes_although_the_next_engine_is_busy() {
     let broken = stream_head("c1") + &event(1);
     let first = FakeEndpoint::bind(vec![Reply::WriteAndClose(broken)]).await;
-    let busy = FakeEndpoint::bind(vec![Reply::Write(not_run())]).await;
+    let busy = FakeEndpoint::bind(vec![Reply::Write(not_run("c1"))]).await;
     let third = FakeEndpoint::bind(vec![complete_stream("c1", 2..=3)]).await;
     let entry = TestEntry::serving(route(RouteKind::Stream, true, 2), &[&first, &busy, &third]);
     let answer = entry.call(&post("c1", "")).await;
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -199,8 +199,8 @@
 }
 
 /// Returns a refusal in which the endpoint states that it did not run the call.
-pub fn not_run() -> String {
-    "HTTP/1.1 503 Busy\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n".to_owned()
+pub fn not_run(call: &str) -> String {
+    format!("HTTP/1.1 503 Busy\r\nCall: {call}\r\nUntouched: 1\r\nContent-Length: 0\r\n\r\n")
 }
 
 /// Returns the head of a stream of events.
