Believe an endpoint's refusal only with a proof that it answers this send

What callers saw: bookings were answered 503, or sent a second time, although an endpoint had run them.

Cause: a head that states that nothing ran was believed whatever tied it to the send. A refused call was sent again on the connection of the refusal, where an endpoint may repeat the refusal; the id does not tell the sends of one call apart. The same belief took refusals without an id, with status 500 or 504, with an authentication code, and truncated ones; and an endpoint's own failure was passed on also with a status that promises callers that nothing ran.

Change: SendFailure::NotRun needs a NotRunProof, which only CallSend makes: from a send that left nothing, or from a whole, consistent, unauthenticated answer that names the call, on a connection that had not carried it before. Calls are not sent twice on one connection; a connection remembers its calls and is closed after 256.

Why this works: the ids of a connection's calls are unique among its sends, so an answer that names a call can belong to no other send.

--- a/crates/amaranth-dispatch/src/attempts.rs
+++ b/crates/amaranth-dispatch/src/attempts.rs
@@ -3,6 +3,7 @@
 use smallvec::SmallVec;
 use strum::Display;
 
+use crate::not_run_proof::{NotRunProof, NotRunReason};
 use crate::refusal::RefusalCause;
 use crate::retry_quota::RetryAllowance;
 use crate::routes::RouteRule;
@@ -12,13 +13,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 #[strum(serialize_all = "kebab-case")]
 pub enum SendFailure {
-    /// No byte of the call reached the endpoint.
-    NotSent,
-    /// The endpoint answered that it did not run the call.
-    NotRun,
-    /// The endpoint lacks the adapter or the version, or another endpoint answered. The call did
-    /// not run.
-    Misdirected,
+    /// The call did not run at the endpoint.
+    #[strum(to_string = "{0}")]
+    NotRun(NotRunProof),
     /// The endpoint ran the call and answered with a failure.
     Failed,
     /// The call was sent, and no trustworthy answer came back.
@@ -32,7 +29,12 @@
 impl SendFailure {
     /// Returns whether it is certain that the call did not run at the endpoint.
     pub const fn is_not_run(self) -> bool {
-        matches!(self, Self::NotSent | Self::NotRun | Self::Misdirected)
+        matches!(self, Self::NotRun(_))
+    }
+
+    /// Returns whether the call did not run for this reason.
+    fn is_not_run_for(self, reason: NotRunReason) -> bool {
+        matches!(self, Self::NotRun(proof) if proof.reason() == reason)
     }
 }
 
@@ -93,7 +95,7 @@
         allowance: &mut RetryAllowance<'_>,
     ) -> NextStep {
         self.sends += 1;
-        if failure != SendFailure::Misdirected {
+        if !failure.is_not_run_for(NotRunReason::Misdirected) {
             self.tried.push(endpoint.clone());
         }
         if !failure.is_not_run() {
@@ -117,7 +119,7 @@
     }
 
     fn acquire_retry(&self, failure: SendFailure, allowance: &mut RetryAllowance<'_>) -> bool {
-        failure == SendFailure::NotSent || allowance.acquire()
+        failure.is_not_run_for(NotRunReason::NotSent) || allowance.acquire()
     }
 
     fn final_answer(&self, failure: SendFailure) -> NextStep {
--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod holder_ranking;
 pub mod load_limiter;
 pub mod memory_budget;
+pub mod not_run_proof;
 pub mod pause_forecast;
 pub mod prefill_turns;
 pub mod quota_agents;
--- a/crates/amaranth-dispatch/src/refusal.rs
+++ b/crates/amaranth-dispatch/src/refusal.rs
@@ -4,6 +4,11 @@
 
 use strum::{Display, IntoStaticStr};
 
+/// Returns whether an HTTP status promises callers that the call has not run and never will.
+pub const fn is_not_run_status(status: u16) -> bool {
+    matches!(status, 408 | 421 | 429 | 503)
+}
+
 /// The reason why an entry refuses a call.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Display, IntoStaticStr)]
 #[strum(serialize_all = "kebab-case")]
@@ -79,7 +84,7 @@
 
     /// Returns whether the answer guarantees that the call has not run and never will.
     pub const fn promises_not_run(self) -> bool {
-        matches!(self.status(), 401 | 408 | 429 | 503)
+        is_not_run_status(self.status()) || matches!(self, Self::UnknownKey)
     }
 }
 
--- a/crates/amaranth-dispatch/tests/attempts.rs
+++ b/crates/amaranth-dispatch/tests/attempts.rs
@@ -14,7 +14,7 @@
 use proptest::test_runner::RngSeed;
 use rstest::rstest;
 
-use support::{name, route};
+use support::{name, not_sent, refused, route};
 
 const NOW: Timestamp = Timestamp::from_millis(1_000);
 
@@ -59,24 +59,9 @@
 }
 
 #[rstest]
-#[case::booking_not_sent(
-    RouteKind::NonIdempotent,
-    false,
-    SendFailure::NotSent,
-    NextStep::SendAgain
-)]
-#[case::booking_not_run(
-    RouteKind::NonIdempotent,
-    false,
-    SendFailure::NotRun,
-    NextStep::SendAgain
-)]
-#[case::booking_misdirected(
-    RouteKind::NonIdempotent,
-    false,
-    SendFailure::Misdirected,
-    NextStep::SendAgain
-)]
+#[case::booking_not_sent(RouteKind::NonIdempotent, false, not_sent(), NextStep::SendAgain)]
+#[case::booking_not_run(RouteKind::NonIdempotent, false, refused(503), NextStep::SendAgain)]
+#[case::booking_misdirected(RouteKind::NonIdempotent, false, refused(421), NextStep::SendAgain)]
 #[case::booking_failed(
     RouteKind::NonIdempotent,
     false,
@@ -130,10 +115,10 @@
 }
 
 #[rstest]
-#[case::shed(SendFailure::NotRun, NextStep::Refuse(RefusalCause::EndpointsRefused))]
+#[case::shed(refused(503), NextStep::Refuse(RefusalCause::EndpointsRefused))]
 #[case::failed(SendFailure::Failed, NextStep::Forward)]
 #[case::ambiguous(SendFailure::Ambiguous, NextStep::Refuse(RefusalCause::OutcomeUnknown))]
-#[case::not_sent(SendFailure::NotSent, NextStep::SendAgain)]
+#[case::not_sent(not_sent(), NextStep::SendAgain)]
 fn without_remaining_retries_only_unsent_calls_are_sent_again(
     #[case] failure: SendFailure,
     #[case] expected: NextStep,
@@ -156,9 +141,9 @@
 
 fn failures() -> impl Strategy<Value = SendFailure> {
     prop_oneof![
-        Just(SendFailure::NotSent),
-        Just(SendFailure::NotRun),
-        Just(SendFailure::Misdirected),
+        Just(not_sent()),
+        Just(refused(503)),
+        Just(refused(421)),
         Just(SendFailure::Failed),
         Just(SendFailure::Ambiguous),
         Just(SendFailure::Abandoned),
--- a/crates/amaranth-dispatch/tests/support/mod.rs
+++ b/crates/amaranth-dispatch/tests/support/mod.rs
@@ -6,10 +6,12 @@
 use std::str::FromStr;
 use std::time::Duration;
 
+use amaranth_dispatch::attempts::SendFailure;
 use amaranth_dispatch::call::{GenerationNeed, PartId, PromptPart, PromptParts};
 use amaranth_dispatch::endpoint_table::{EndpointRecord, EndpointTable, RegistryEvent};
 use amaranth_dispatch::engine_selector::Locality;
 use amaranth_dispatch::engine_view::{EngineContents, EngineView, HeldAdapter, LoadRequest};
+use amaranth_dispatch::not_run_proof::{AnswerFacts, CallSend, NamedCall};
 use amaranth_dispatch::routes::{
     CallerLimits, EngineRule, ModelRule, RouteKind, RouteRule, RoutingConfig, WeightedService,
 };
@@ -23,6 +25,24 @@
     text.parse().expect("names in tests are valid")
 }
 
+/// Returns the failure of a send that never left the entry.
+pub fn not_sent() -> SendFailure {
+    SendFailure::NotRun(CallSend::begin().abandon())
+}
+
+/// Returns the failure of a send that an endpoint provably refused with this status.
+pub fn refused(status: u16) -> SendFailure {
+    let facts = AnswerFacts {
+        status,
+        states_not_run: true,
+        is_authenticated: false,
+        named_call: NamedCall::Sent,
+        is_complete: true,
+    };
+    let proof = CallSend::begin().hand_over(0).verify(&facts);
+    SendFailure::NotRun(proof.expect("the answer is a proof"))
+}
+
 /// Returns a version of an adapter of the tests' model.
 pub fn held(adapter: &str, version: u64) -> HeldAdapter {
     HeldAdapter {
--- a/crates/amaranth-dispatch/tests/text_forms.rs
+++ b/crates/amaranth-dispatch/tests/text_forms.rs
@@ -1,5 +1,7 @@
 //! Snapshots of the text forms that dispatch enums have in logs and metrics.
 
+mod support;
+
 use amaranth_dispatch::adapter_manager::OrderAnswer;
 use amaranth_dispatch::attempts::SendFailure;
 use amaranth_dispatch::endpoint_table::{AgentFailure, EndpointChange};
@@ -9,6 +11,8 @@
 use amaranth_dispatch::refusal::RefusalCause;
 use amaranth_dispatch::routes::{ConfigOutcome, RouteKind};
 
+use support::{not_sent, refused};
+
 fn texts<Value: ToString>(values: &[Value]) -> String {
     let texts: Vec<String> = values.iter().map(ToString::to_string).collect();
     texts.join(" ")
@@ -25,9 +29,9 @@
         EndpointChange::Unchanged,
     ];
     let failures = [
-        SendFailure::NotSent,
-        SendFailure::NotRun,
-        SendFailure::Misdirected,
+        not_sent(),
+        refused(503),
+        refused(421),
         SendFailure::Failed,
         SendFailure::Ambiguous,
         SendFailure::Abandoned,
--- a/crates/amaranth-relay/src/carried_calls.rs
+++ b/crates/amaranth-relay/src/carried_calls.rs
@@ -3,6 +3,9 @@
 use amaranth_core::digest::hash64;
 use amaranth_dispatch::call::CallId;
 
+/// Number of calls that one connection carries at most, which bounds what is remembered of them.
+const MAX_CALLS: usize = 256;
+
 /// The calls that were sent on one connection, as digests of their ids.
 #[derive(Debug, Clone, Default)]
 pub struct CarriedCalls {
@@ -21,6 +24,11 @@
         self.digests.iter().filter(|known| **known == sent).count()
     }
 
+    /// Returns whether the connection may carry no further call.
+    pub const fn is_full(&self) -> bool {
+        self.digests.len() >= MAX_CALLS
+    }
+
     /// Returns the number of all sends.
     pub const fn sends(&self) -> usize {
         self.digests.len()
--- a/crates/amaranth-relay/src/endpoint_pool.rs
+++ b/crates/amaranth-relay/src/endpoint_pool.rs
@@ -55,12 +55,9 @@
 /// A failure to receive the head of an answer.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
-    /// No connection could be opened; nothing was sent.
-    #[error("no connection: {0}")]
-    NotConnected(io::Error),
-    /// The connection ended before anything was sent.
+    /// The connection ended before anything was sent, and gave the request back.
     #[error("the connection ended before the call was sent")]
-    NotSent,
+    NotSent(Box<Request<Full<Bytes>>>),
     /// The call was sent at least in part and may have run.
     #[error("the connection ended after the call was sent: {0}")]
     Ambiguous(hyper::Error),
@@ -120,19 +117,16 @@
     ) -> Result<Response<EndpointBody>, SendError> {
         let channel = &mut self.channel;
         if channel.sender.ready().await.is_err() {
-            return Err(SendError::NotSent);
+            return Err(SendError::NotSent(Box::new(request)));
         }
         channel.allowance.set(MAX_HEAD_BYTES);
         let response = channel
             .sender
             .try_send_request(request)
             .await
-            .map_err(|mut error| {
-                if error.take_message().is_some() {
-                    SendError::NotSent
-                } else {
-                    SendError::Ambiguous(error.into_error())
-                }
+            .map_err(|mut error| match error.take_message() {
+                Some(request) => SendError::NotSent(Box::new(request)),
+                None => SendError::Ambiguous(error.into_error()),
             })?;
         Ok(response.map(|body| EndpointBody::new(body, channel.allowance.clone())))
     }
@@ -184,11 +178,28 @@
     /// # Errors
     ///
     /// Returns an error if a new connection can't be opened in time.
-    pub async fn connect(&self, address: SocketAddr) -> Result<EndpointConnection, SendError> {
-        if let Some(connection) = self.take_idle(address) {
-            return Ok(connection);
+    pub async fn connect(&self, address: SocketAddr) -> io::Result<EndpointConnection> {
+        match self.take_idle(address, |_| true) {
+            Some(connection) => Ok(connection),
+            None => self.open(address).await,
+        }
+    }
+
+    /// Returns a connection that has not carried this call: the most recently used idle one, or a new
+    /// one. An endpoint may repeat its answer to an earlier send on the connection of that send.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a new connection can't be opened in time.
+    pub async fn connect_for(
+        &self,
+        address: SocketAddr,
+        call: &CallId,
+    ) -> io::Result<EndpointConnection> {
+        match self.take_idle(address, |carried| carried.sends_of(call) == 0) {
+            Some(connection) => Ok(connection),
+            None => self.open(address).await,
         }
-        self.open(address).await
     }
 
     /// Opens a new connection to an endpoint.
@@ -196,12 +207,11 @@
     /// # Errors
     ///
     /// Returns an error if the connection can't be opened in time.
-    pub async fn open(&self, address: SocketAddr) -> Result<EndpointConnection, SendError> {
+    pub async fn open(&self, address: SocketAddr) -> io::Result<EndpointConnection> {
         let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
             .await
-            .unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)))
-            .map_err(SendError::NotConnected)?;
-        set_options(&stream).map_err(SendError::NotConnected)?;
+            .unwrap_or_else(|_| Err(io::Error::from(io::ErrorKind::TimedOut)))?;
+        set_options(&stream)?;
         let (allowance, backlog) = (ReadAllowance::default(), WriteBacklog::default());
         allowance.set(MAX_HEAD_BYTES);
         let (sender, connection) = Builder::new()
@@ -213,7 +223,7 @@
                 backlog.clone(),
             )))
             .await
-            .map_err(|error| SendError::NotConnected(io::Error::other(error)))?;
+            .map_err(io::Error::other)?;
         metrics::counter!("amaranth_endpoint_connections_total").increment(1);
         let driver = tokio::spawn(async move {
             // The caller of `send` receives the error; it matters to no one else.
@@ -237,7 +247,8 @@
         let EndpointConnection { channel, address } = connection;
         let mut idle = self.lock();
         let list = idle.entry(address).or_default();
-        if list.len() >= MAX_IDLE || channel.sender.is_closed() || channel.backlog.is_waiting() {
+        let is_usable = !channel.sender.is_closed() && !channel.backlog.is_waiting();
+        if list.len() >= MAX_IDLE || !is_usable || channel.carried.is_full() {
             return;
         }
         list.push(IdleConnection {
@@ -256,17 +267,20 @@
         idle.retain(|_, list| !list.is_empty());
     }
 
-    fn take_idle(&self, address: SocketAddr) -> Option<EndpointConnection> {
+    fn take_idle(
+        &self,
+        address: SocketAddr,
+        is_suitable: impl Fn(&CarriedCalls) -> bool,
+    ) -> Option<EndpointConnection> {
         let now = Instant::now();
         let mut idle = self.lock();
         let list = idle.get_mut(&address)?;
-        while let Some(connection) = list.pop() {
-            if connection.is_usable(now) {
-                let channel = connection.channel;
-                return Some(EndpointConnection { channel, address });
-            }
-        }
-        None
+        list.retain(|connection| connection.is_usable(now));
+        let index = list
+            .iter()
+            .rposition(|connection| is_suitable(&connection.channel.carried))?;
+        let channel = list.remove(index).channel;
+        Some(EndpointConnection { channel, address })
     }
 
     fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<IdleConnection>>> {
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -1,19 +1,20 @@
-//! Sending of a call to an endpoint, and classification of the answer as success or failure.
+//! Sending of a call to an endpoint, up to the head of its answer or the end of its body.
 
 use std::future::Future;
 use std::sync::Arc;
 use std::time::Duration;
 
 use amaranth_core::ids::EndpointId;
-use amaranth_core::time::Timestamp;
 use amaranth_dispatch::attempts::{AttemptHistory, SendFailure};
-use amaranth_dispatch::endpoint_table::{EndpointChange, EndpointOutcome};
+use amaranth_dispatch::endpoint_table::EndpointOutcome;
 use amaranth_dispatch::memory_budget::HoldPurpose;
+use amaranth_dispatch::not_run_proof::{CallSend, NotRunProof};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::Full;
 use tokio::time::{Instant, timeout_at};
 
+use crate::answer_classification::AnsweredSend;
 use crate::call_codec::{AnswerMetadata, ForwardContext};
 use crate::endpoint_body::{EndpointBody, is_delimited};
 use crate::endpoint_pool::{EndpointConnection, SendError};
@@ -57,12 +58,17 @@
 }
 
 impl FailedSend {
-    const fn without_answer(failure: SendFailure) -> Self {
+    /// Creates a failed send without an error answer of the endpoint.
+    pub const fn without_answer(failure: SendFailure) -> Self {
         Self {
             failure,
             answer: None,
         }
     }
+
+    const fn not_run(proof: NotRunProof) -> Self {
+        Self::without_answer(SendFailure::NotRun(proof))
+    }
 }
 
 /// Sends a call to an endpoint and returns a successful answer once its head has arrived.
@@ -74,10 +80,12 @@
     position: AnswerPosition,
 ) -> Result<OpenAnswer, FailedSend> {
     let mut guard = selected.guard;
+    let unsent = CallSend::begin();
     if !prefill_turn::take_turn(core, call, &mut guard).await {
-        return Err(FailedSend::without_answer(SendFailure::NotSent));
+        return Err(FailedSend::not_run(unsent.abandon()));
     }
-    let mut connection = match core.pool.connect(selected.address).await {
+    let id = &call.head.id;
+    let mut connection = match core.pool.connect_for(selected.address, id).await {
         Ok(connection) => connection,
         Err(error) => {
             log::info!(
@@ -86,7 +94,7 @@
                 guard.endpoint()
             );
             guard.set_outcome(EndpointOutcome::Failed);
-            return Err(FailedSend::without_answer(SendFailure::NotSent));
+            return Err(FailedSend::not_run(unsent.abandon()));
         }
     };
     let cause = if call.time_left(core) < MIN_TIME_LEFT {
@@ -106,7 +114,7 @@
             call.head.id,
             guard.endpoint()
         );
-        return Err(FailedSend::without_answer(SendFailure::NotSent));
+        return Err(FailedSend::not_run(unsent.abandon()));
     }
     let request = write_request(
         core,
@@ -121,27 +129,26 @@
         record_origin(core, &call.head.id, software, history.sends())
     });
     let sent_at = core.now();
-    connection.record_call(&call.head.id);
+    let sent = unsent.hand_over(connection.carried().sends_of(id));
+    connection.record_call(id);
     let sending = connection.send(request);
     let response = match wait_for_head(core, call, &guard, history, position, sending).await {
         HeadWait::Received(Ok(response)) => response,
         HeadWait::Received(Err(error)) => {
-            let failure = match error {
-                SendError::NotConnected(_) | SendError::NotSent => SendFailure::NotSent,
-                SendError::Ambiguous(_) => SendFailure::Ambiguous,
-            };
-            if failure == SendFailure::Ambiguous {
-                guard.set_outcome(EndpointOutcome::Failed);
-                guard.record_lost_connection();
-            }
             log::info!(
-                "event=connection_ended id={} endpoint={} request={} parts={} error={error}",
-                call.head.id,
+                "event=connection_ended id={id} endpoint={} request={} parts={} error={error}",
                 guard.endpoint(),
                 call.digest,
                 call.part_names()
             );
-            return Err(FailedSend::without_answer(failure));
+            return Err(match error {
+                SendError::NotSent(request) => FailedSend::not_run(sent.take_back(request)),
+                SendError::Ambiguous(_) => {
+                    guard.set_outcome(EndpointOutcome::Failed);
+                    guard.record_lost_connection();
+                    FailedSend::without_answer(SendFailure::Ambiguous)
+                }
+            });
         }
         HeadWait::Silent(failure) => {
             guard.set_outcome(EndpointOutcome::Failed);
@@ -152,7 +159,13 @@
             return Err(FailedSend::without_answer(SendFailure::Ambiguous));
         }
     };
-    let mut answer = classify(core, call, response, connection, guard, sent_at).await?;
+    let answered = AnsweredSend {
+        sent,
+        sent_at,
+        connection,
+        guard,
+    };
+    let mut answer = answered.classify(core, call, response).await?;
     answer.origin = origin;
     Ok(answer)
 }
@@ -214,199 +227,12 @@
     request
 }
 
-/// Classifies an answer as a success or a failure by its head.
-async fn classify(
-    core: &EntryCore,
-    call: &RoutedCall,
-    response: Response<EndpointBody>,
-    mut connection: EndpointConnection,
-    mut guard: SendGuard,
-    sent_at: Timestamp,
-) -> Result<OpenAnswer, FailedSend> {
-    let (parts, body) = response.into_parts();
-    let metadata = core.codec.read_answer(&parts);
-    connection.record_keep_alive(metadata.keep_alive);
-    record_wishes(core, guard.endpoint(), &metadata);
-    let is_other_call = metadata
-        .call_id
-        .as_deref()
-        .is_some_and(|id| id != call.head.id.as_str());
-    if is_other_call || metadata.is_encoded {
-        log::warn!(
-            "event=foreign_answer id={} endpoint={} status={} connection={} connection_sends={}",
-            call.head.id,
-            guard.endpoint(),
-            parts.status.as_u16(),
-            connection.number(),
-            connection.carried().sends()
-        );
-        guard.set_outcome(EndpointOutcome::Failed);
-        return Err(FailedSend::without_answer(SendFailure::Ambiguous));
-    }
-    record_limit(core, guard.endpoint(), &metadata, sent_at);
-    let response = Response::from_parts(parts, body);
-    if response.status().is_success() {
-        if !metadata.authenticated {
-            guard.set_outcome(EndpointOutcome::Failed);
-            return Err(FailedSend::without_answer(SendFailure::Ambiguous));
-        }
-        return Ok(OpenAnswer {
-            response,
-            metadata,
-            connection,
-            guard,
-            origin: None,
-        });
-    }
-    let failure = match (metadata.misdirected, metadata.not_run) {
-        (true, _) => SendFailure::Misdirected,
-        (false, true) => SendFailure::NotRun,
-        (false, false) => SendFailure::Failed,
-    };
-    if failure == SendFailure::Misdirected {
-        record_misdirected(core, call, guard.endpoint(), &metadata);
-    }
-    let status = response.status();
-    let full_answer = read_full_answer(call, response).await.ok();
-    log_failure(
-        call,
-        &connection,
-        &guard,
-        FailureLine {
-            status,
-            metadata: &metadata,
-            is_complete: full_answer.is_some(),
-        },
-    );
-    match &full_answer {
-        Some(_) => core.pool.release(connection),
-        None => drop(connection),
-    }
-    if failure == SendFailure::Failed {
-        guard.set_outcome(EndpointOutcome::Failed);
-    }
-    let answer = full_answer.filter(|_| metadata.authenticated);
-    let failure = match (failure, &answer) {
-        (SendFailure::Failed, None) => SendFailure::Ambiguous,
-        (failure, _) => failure,
-    };
-    Err(FailedSend { failure, answer })
-}
-
-/// What the log tells of an answer that is not a success.
-struct FailureLine<'a> {
-    status: StatusCode,
-    metadata: &'a AnswerMetadata,
-    is_complete: bool,
-}
-
-/// Logs an answer that is not a success, with what ties it to the call.
-fn log_failure(
-    call: &RoutedCall,
-    connection: &EndpointConnection,
-    guard: &SendGuard,
-    line: FailureLine<'_>,
-) {
-    let FailureLine {
-        status,
-        metadata,
-        is_complete,
-    } = line;
-    let event = if metadata.not_run || metadata.misdirected {
-        "endpoint_refusal"
-    } else {
-        "endpoint_failure"
-    };
-    log::info!(
-        "event={event} id={} endpoint={} status={} stated_not_run={} authenticated={} names_call={} complete={is_complete} connection={} connection_sends={} call_sends={}",
-        call.head.id,
-        guard.endpoint(),
-        status.as_u16(),
-        metadata.not_run,
-        metadata.authenticated,
-        metadata.call_id.is_some(),
-        connection.number(),
-        connection.carried().sends(),
-        connection.carried().sends_of(&call.head.id)
-    );
-}
-
-/// Records what an endpoint states about itself in the head of any answer: that it is leaving, or
-/// that it wants a pause.
-fn record_wishes(core: &EntryCore, endpoint: &EndpointId, metadata: &AnswerMetadata) {
-    let answered_by = metadata.answered_by.as_deref();
-    if answered_by.is_some_and(|other| other != endpoint.as_str()) {
-        return;
-    }
-    let now = core.now();
-    let mut state = core.state();
-    if metadata.is_leaving {
-        let change = state.endpoints.record_leaving(endpoint);
-        if change == EndpointChange::Draining {
-            log::info!("event=endpoint endpoint={endpoint} change={change} source=answer");
-        }
-    }
-    if let Some(pause) = metadata.pause {
-        state.endpoints.record_pause(now, endpoint, pause);
-        log::info!(
-            "event=endpoint_paused endpoint={endpoint} pause_ms={}",
-            pause.as_millis()
-        );
-    }
-}
-
-/// Records the limit that an endpoint states in the head of an answer, or that it states none any
-/// more, which only an authenticated answer shows.
-fn record_limit(
-    core: &EntryCore,
-    endpoint: &EndpointId,
-    metadata: &AnswerMetadata,
-    sent_at: Timestamp,
-) {
-    if metadata.misdirected || (metadata.limit.is_none() && !metadata.authenticated) {
-        return;
-    }
-    let now = core.now();
-    let mut state = core.state();
-    let has_changed = state
-        .endpoints
-        .record_limit(now, endpoint, sent_at, metadata.limit);
-    drop(state);
-    if has_changed {
-        let limit = metadata.limit.map(|limit| limit.to_string());
-        log::info!(
-            "event=endpoint_limit endpoint={endpoint} limit={}",
-            limit.as_deref().unwrap_or("none")
-        );
-    }
-}
-
-/// Corrects the table after an endpoint refused a call as misdirected: another endpoint has its
-/// address, or the endpoint lacks the adapter.
-fn record_misdirected(
-    core: &EntryCore,
-    call: &RoutedCall,
-    endpoint: &EndpointId,
-    metadata: &AnswerMetadata,
-) {
-    let other = metadata.answered_by.as_deref();
-    if let Some(other) = other.filter(|other| *other != endpoint.as_str()) {
-        let change = core.state().endpoints.record_replaced(endpoint);
-        log::info!("event=endpoint endpoint={endpoint} change={change} replaced_by={other}");
-        return;
-    }
-    let Some(need) = &call.need else {
-        return;
-    };
-    let Some(adapter) = &need.adapter else {
-        return;
-    };
-    if let Some(state) = core.state().endpoints.get_mut(endpoint) {
-        state.record_missing(&need.model, adapter);
-    }
-}
-
-async fn read_full_answer(
+/// Reads the body of an answer to its end.
+///
+/// # Errors
+///
+/// Returns why the body could not be read whole.
+pub async fn read_full_answer(
     call: &RoutedCall,
     response: Response<EndpointBody>,
 ) -> Result<Response<Bytes>, ReadFailure> {
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod agent;
 pub mod agent_link;
 pub mod answer_body;
+pub mod answer_classification;
 pub mod call_codec;
 pub mod call_record;
 pub mod call_task;
