Read the registry before one software version is taken for the only one

What callers saw, by the report of another operator: streams of engines of a new software version broke, were taken up at an entry that was out of step, and went on at an engine of the old version.

Cause: for a stream whose origin no agent knows, an entry took what the store remembered up to 500 ms ago. Entries note a new version in the store after they see it and begin streams at once; their notes may be on their way. The entry's own list may be as old as the drain bound. An entry that is out of step also marked a version that it did not list as removed.

Change: the store is read after the call arrived, the registry before the memory, and the registry's versions count.

Evidence: a_stream_of_a_version_that_has_just_joined_does_not_go_on_at_another_one failed in both cases with the earlier decisions (registry not read, a read of up to 500 ms ago used again), and passes. The property over histories has notes that do not arrive and an entry that decides without having read the registry.

--- a/crates/amaranth-dispatch/src/software_history.rs
+++ b/crates/amaranth-dispatch/src/software_history.rs
@@ -3,7 +3,8 @@
 //! A stream of unknown origin may go on only where all engines of its service have had one version since
 //! the stream can have begun. What one entry has seen does not show this: it may have started after the
 //! engines of another version left, or be cut off from the registry. Entries therefore note each version
-//! that they see in the platform's store, with the time at which the last endpoint of a version left.
+//! that they see in the platform's store, with the time at which the last endpoint of a version left. An
+//! entry whose note is on its way may have begun streams already, so the registry itself counts as well.
 
 use std::collections::BTreeMap;
 
@@ -35,6 +36,36 @@
     }
 }
 
+/// A software version of a service that an endpoint in the registry has.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListedVersion {
+    /// The service.
+    pub service: ServiceName,
+    /// The version.
+    pub software: SoftwareVersion,
+}
+
+/// What the store shows of software versions. The registry is read first, so that a version that leaves it
+/// meanwhile is remembered.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct StoredVersions {
+    /// The versions of the endpoints in the registry.
+    pub listed: Vec<ListedVersion>,
+    /// The versions that entries have noted.
+    pub remembered: Vec<RememberedVersion>,
+}
+
+impl StoredVersions {
+    fn lists(&self, version: &RememberedVersion) -> bool {
+        let RememberedVersion {
+            service, software, ..
+        } = version;
+        self.listed
+            .iter()
+            .any(|listed| listed.service == *service && listed.software == *software)
+    }
+}
+
 /// A version as this entry saw it.
 #[derive(Debug, Clone, Copy)]
 struct SeenVersion {
@@ -100,14 +131,14 @@
         !self.unpublished.is_empty()
     }
 
-    /// Records what the store remembers. Versions that it takes for listed and that are not, are to be
+    /// Records what the store shows. Versions that it remembers as listed and that are not, are to be
     /// published as removed now: the entries that could have seen them leave have ended.
-    pub fn adopt(&mut self, wall_now: WallTime, remembered: &[RememberedVersion]) {
-        for version in remembered {
+    pub fn adopt(&mut self, wall_now: WallTime, stored: &StoredVersions) {
+        for version in &stored.remembered {
             let versions = self.seen.get(&version.service);
             let seen = versions.and_then(|known| known.get(&version.software));
             let key = (version.service.clone(), version.software.clone());
-            if version.removed_at.is_none() && seen.is_none() {
+            if version.removed_at.is_none() && seen.is_none() && !stored.lists(version) {
                 self.unpublished.entry(key).or_insert(Some(wall_now));
             } else if version.removed_at.is_some() && seen.is_some_and(|seen| seen.is_listed) {
                 // Another entry saw the version leave and this one did not, since it is listed again.
@@ -150,13 +181,16 @@
     /// Returns the only version at which a stream that is taken up at `now` may have begun: the one
     /// that this entry and the store know of. Returns nothing if the store remembers no version of the
     /// service, since nothing then shows that there was no other.
+    ///
+    /// The store must have been read after the stream began.
     pub fn only_version(
         &self,
         wall_now: WallTime,
         service: &ServiceName,
-        remembered: &[RememberedVersion],
+        stored: &StoredVersions,
     ) -> Option<SoftwareVersion> {
-        let remembered = remembered
+        let remembered = stored
+            .remembered
             .iter()
             .filter(|version| version.service == *service);
         let mut remembered = remembered
@@ -165,8 +199,11 @@
         let only = remembered.next()?;
         let seen = self.seen.get(service);
         let mut seen = seen.into_iter().flat_map(BTreeMap::keys);
-        let is_only =
-            remembered.all(|version| version == only) && seen.all(|version| version == only);
+        let listed = stored.listed.iter();
+        let mut listed = listed.filter(|version| version.service == *service);
+        let is_only = remembered.all(|version| version == only)
+            && listed.all(|version| version.software == *only)
+            && seen.all(|version| version == only);
         is_only.then(|| only.clone())
     }
 }
--- a/crates/amaranth-dispatch/tests/software_history.rs
+++ b/crates/amaranth-dispatch/tests/software_history.rs
@@ -5,7 +5,9 @@
 
 use amaranth_core::ids::{ServiceName, SoftwareVersion};
 use amaranth_core::time::{Timestamp, WallTime};
-use amaranth_dispatch::software_history::{RememberedVersion, SoftwareHistory};
+use amaranth_dispatch::software_history::{
+    ListedVersion, RememberedVersion, SoftwareHistory, StoredVersions,
+};
 use amaranth_dispatch::stream_origins::ORIGIN_TIME;
 use proptest::prelude::{Just, ProptestConfig, Strategy, prop_assert, prop_oneof, proptest};
 use rstest::rstest;
@@ -29,6 +31,18 @@
     }
 }
 
+/// Returns what a store shows that lists and remembers these versions.
+fn stored(listed: &[&str], remembered: &[RememberedVersion]) -> StoredVersions {
+    let listed = listed.iter().map(|software| ListedVersion {
+        service: service(),
+        software: version(software),
+    });
+    StoredVersions {
+        listed: listed.collect(),
+        remembered: remembered.to_vec(),
+    }
+}
+
 fn listing(versions: &[&str]) -> SoftwareHistory {
     let mut history = SoftwareHistory::default();
     record(&mut history, NOW, versions);
@@ -68,7 +82,7 @@
             remembered(software, removed_at)
         })
         .collect();
-    let found = history.only_version(WALL_NOW, &service(), &known);
+    let found = history.only_version(WALL_NOW, &service(), &stored(&[], &known));
     assert_eq!(found, only.map(version));
 }
 
@@ -80,9 +94,12 @@
         ..remembered("v2", None)
     };
     let known = [remembered("v1", None), other.clone()];
-    let found = history.only_version(WALL_NOW, &service(), &known);
+    let found = history.only_version(WALL_NOW, &service(), &stored(&[], &known));
     assert_eq!(found, Some(version("v1")));
-    assert_eq!(history.only_version(WALL_NOW, &service(), &[other]), None);
+    assert_eq!(
+        history.only_version(WALL_NOW, &service(), &stored(&[], &[other])),
+        None
+    );
 }
 
 #[test]
@@ -112,7 +129,8 @@
 fn a_version_that_left_while_all_entries_were_down_is_published_as_removed() {
     let mut history = listing(&["v2"]);
     history.take_unpublished();
-    history.adopt(WALL_NOW, &[remembered("v1", None), remembered("v2", None)]);
+    let known = [remembered("v1", None), remembered("v2", None)];
+    history.adopt(WALL_NOW, &stored(&["v2"], &known));
     assert_eq!(
         history.take_unpublished(),
         [remembered("v1", Some(WALL_NOW))]
@@ -150,10 +168,21 @@
         NOW + Duration::from_secs(11),
         &["v1"]
     ));
-    history.adopt(WALL_NOW, &[remembered("v1", Some(WALL_NOW))]);
+    let known = [remembered("v1", Some(WALL_NOW))];
+    history.adopt(WALL_NOW, &stored(&["v1"], &known));
     assert_eq!(history.take_unpublished(), [remembered("v1", None)]);
 }
 
+/// Guards against an entry that is out of step and marks a version that has joined as removed.
+#[test]
+fn a_version_that_the_registry_lists_is_not_published_as_removed() {
+    let mut history = listing(&["v1"]);
+    history.take_unpublished();
+    let known = [remembered("v1", None), remembered("v2", None)];
+    history.adopt(WALL_NOW, &stored(&["v1", "v2"], &known));
+    assert_eq!(history.take_unpublished(), []);
+}
+
 /// A step in the life of a fleet.
 #[derive(Debug, Clone, Copy)]
 enum FleetStep {
@@ -163,6 +192,8 @@
     Remove(u8),
     /// An entry reads the registry and publishes what it saw.
     Read(usize),
+    /// An entry reads the registry, and its notes do not reach the store yet.
+    ReadUnpublished(usize),
     /// All entries end and start again.
     RestartAll,
     /// Time passes, in seconds.
@@ -174,6 +205,7 @@
         (0..4_u8).prop_map(FleetStep::Add),
         (0..4_u8).prop_map(FleetStep::Remove),
         (0..3_usize).prop_map(FleetStep::Read),
+        (0..3_usize).prop_map(FleetStep::ReadUnpublished),
         Just(FleetStep::RestartAll),
         (1..90_u64).prop_map(FleetStep::Wait),
     ];
@@ -188,6 +220,7 @@
     listed: Vec<u8>,
     seconds: u64,
     last_seen: BTreeMap<u8, u64>,
+    last_noted: BTreeMap<u8, u64>,
 }
 
 impl Fleet {
@@ -203,34 +236,60 @@
             FleetStep::Remove(number) => self.listed.retain(|known| *known != number),
             FleetStep::RestartAll => self.entries = Default::default(),
             FleetStep::Wait(seconds) => self.seconds += seconds,
-            FleetStep::Read(index) => self.read(index),
+            FleetStep::Read(index) => self.read(index, true),
+            FleetStep::ReadUnpublished(index) => self.read(index, false),
         }
     }
 
-    /// Lets an entry read the registry. Its calls may begin streams at all listed versions until then,
-    /// and at those that it knew before.
-    fn read(&mut self, index: usize) {
-        let (now, wall_now) = self.now();
+    /// Returns what the store shows.
+    fn stored(&self) -> StoredVersions {
         let names: Vec<String> = self
             .listed
             .iter()
             .map(|number| format!("v{number}"))
             .collect();
         let names: Vec<&str> = names.iter().map(String::as_str).collect();
-        let service = service();
-        let versions: Vec<SoftwareVersion> = names.iter().map(|name| version(name)).collect();
-        let listed = versions.iter().map(|software| (&service, software));
+        let remembered: Vec<RememberedVersion> = self.store.values().cloned().collect();
+        stored(&names, &remembered)
+    }
+
+    /// Lets an entry read the registry. Its calls may begin streams at all listed versions until then,
+    /// and at those that it knew before.
+    fn read(&mut self, index: usize, publishes: bool) {
+        let (now, wall_now) = self.now();
+        let stored = self.stored();
+        let listed = stored
+            .listed
+            .iter()
+            .map(|version| (&version.service, &version.software));
         let entry = &mut self.entries[index];
         entry.record(now, wall_now, listed);
-        let known: Vec<RememberedVersion> = self.store.values().cloned().collect();
-        entry.adopt(wall_now, &known);
+        entry.adopt(wall_now, &stored);
+        for number in &self.listed {
+            self.last_seen.insert(*number, self.seconds);
+        }
+        if !publishes {
+            return;
+        }
         for published in entry.take_unpublished() {
             self.store.insert(published.software.clone(), published);
         }
         for number in &self.listed {
-            self.last_seen.insert(*number, self.seconds);
+            self.last_noted.insert(*number, self.seconds);
         }
     }
+
+    /// Returns the versions at which a stream that is taken up now may have begun. Those that left before
+    /// any note of them reached the store are not known to anybody.
+    fn possible_origins(&self) -> Vec<SoftwareVersion> {
+        let seen = self.last_seen.keys();
+        let known = seen.filter(|number| {
+            let noted = self.last_noted.get(number);
+            let is_noted = noted.is_some_and(|noted| self.seconds - noted < ORIGIN_TIME.as_secs());
+            is_noted || self.listed.contains(number)
+        });
+        known.map(|number| version(&format!("v{number}"))).collect()
+    }
 }
 
 proptest! {
@@ -250,19 +309,11 @@
         for step in history {
             fleet.step(step);
         }
-        // The list of the entry that decides is recent.
-        fleet.read(index);
         let (_, wall_now) = fleet.now();
-        let known: Vec<RememberedVersion> = fleet.store.values().cloned().collect();
-        let only = fleet.entries[index].only_version(wall_now, &service(), &known);
-        let seconds = fleet.seconds;
-        let recent = fleet.last_seen.iter().filter(|(_, seen)| {
-            seconds - **seen < ORIGIN_TIME.as_secs()
-        });
-        let recent: Vec<SoftwareVersion> =
-            recent.map(|(number, _)| version(&format!("v{number}"))).collect();
+        let only = fleet.entries[index].only_version(wall_now, &service(), &fleet.stored());
         if let Some(only) = only {
-            prop_assert!(recent.iter().all(|seen| *seen == only), "{only} of {recent:?}");
+            let origins = fleet.possible_origins();
+            prop_assert!(origins.iter().all(|origin| *origin == only), "{only} of {origins:?}");
         }
     }
 }
--- a/crates/amaranth-relay/src/origin_exchange.rs
+++ b/crates/amaranth-relay/src/origin_exchange.rs
@@ -145,7 +145,7 @@
 /// Returns the only software version at which any stream of the call's service may have begun, if the
 /// store shows that there was no other and this entry's list of endpoints is recent.
 async fn only_version(core: &EntryCore, call: &RoutedCall) -> Option<SoftwareVersion> {
-    let remembered = core.software_memory.read().await?;
+    let stored = core.software_memory.read().await?;
     let now = core.now();
     let state = core.state();
     let age = state.registry_freshness.age(now)?;
@@ -155,7 +155,7 @@
     let service = &call.service;
     state
         .software
-        .only_version(WallTime::now(), service, &remembered)
+        .only_version(WallTime::now(), service, &stored)
 }
 
 /// Looks up the origin of a stream, first at this entry and then at agents.
--- a/crates/amaranth-relay/src/software_memory.rs
+++ b/crates/amaranth-relay/src/software_memory.rs
@@ -4,11 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use amaranth_core::time::{Timestamp, WallTime};
-use amaranth_dispatch::software_history::RememberedVersion;
+use amaranth_core::time::WallTime;
+use amaranth_dispatch::software_history::{RememberedVersion, StoredVersions};
 use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
 
 use crate::engine_port::PortError;
 use crate::entry::EntryCore;
@@ -17,9 +17,9 @@
 /// 100 ms for which a CPU quota may pause the process.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time for which what was read answers further questions: many callers take their streams up at once
-/// after an entry was lost.
-const READ_VALIDITY: Duration = Duration::from_millis(500);
+/// Minimum time between two reads, which answer all questions that wait: many callers take their streams
+/// up at once after an entry was lost.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Number of questions that wait for the same read.
 const MAX_QUESTIONS: usize = 1_024;
@@ -30,11 +30,8 @@
 /// Maximum delay after a failed publication.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
-/// What the store remembers of software versions.
-type RememberedVersions = Arc<[RememberedVersion]>;
-
-/// A question for what the store remembers. An answer is missing if the store gave none.
-type MemoryQuestion = oneshot::Sender<Option<RememberedVersions>>;
+/// A question for what the store shows. An answer is missing if the store gave none.
+type MemoryQuestion = oneshot::Sender<Option<Arc<StoredVersions>>>;
 
 /// The place where entries remember the software versions that they saw.
 pub trait SoftwareStore: Send + Sync + 'static {
@@ -44,11 +41,11 @@
         versions: &[RememberedVersion],
     ) -> impl Future<Output = Result<(), PortError>> + Send;
 
-    /// Reads all versions that are remembered.
-    fn read(&self) -> impl Future<Output = Result<Vec<RememberedVersion>, PortError>> + Send;
+    /// Reads the versions in the registry, and then all that are remembered.
+    fn read(&self) -> impl Future<Output = Result<StoredVersions, PortError>> + Send;
 }
 
-/// The link between calls, which ask what the store remembers, and the tasks that reach the store.
+/// The link between calls, which ask what the store shows, and the tasks that reach the store.
 #[derive(Debug, Default)]
 pub struct SoftwareMemory {
     questions: Mutex<Option<mpsc::Sender<MemoryQuestion>>>,
@@ -61,12 +58,15 @@
         self.unpublished.notify_one();
     }
 
-    /// Returns what the store remembers, or nothing if the store does not answer in time.
-    pub async fn read(&self) -> Option<RememberedVersions> {
+    /// Reads what the store shows from now on. Returns nothing if the store does not answer in time.
+    pub async fn read(&self) -> Option<Arc<StoredVersions>> {
         let sender = self.questions().clone()?;
         let (question, answer) = oneshot::channel();
         sender.try_send(question).ok()?;
-        timeout(READ_TIMEOUT, answer).await.ok()?.ok()?
+        timeout(READ_INTERVAL + READ_TIMEOUT, answer)
+            .await
+            .ok()?
+            .ok()?
     }
 
     fn questions(&self) -> MutexGuard<'_, Option<mpsc::Sender<MemoryQuestion>>> {
@@ -130,20 +130,30 @@
     store: &impl SoftwareStore,
     mut questions: mpsc::Receiver<MemoryQuestion>,
 ) {
-    let mut known: Option<(Timestamp, RememberedVersions)> = None;
+    let mut next_read_at = Instant::now();
     while let Some(question) = questions.recv().await {
-        let now = core.now();
-        known = known.filter(|(read_at, _)| now.since(*read_at) < READ_VALIDITY);
-        if known.is_none() && !question.is_closed() {
-            known = read_versions(core, store).await.map(|read| (now, read));
+        sleep_until(next_read_at).await;
+        let mut waiting = vec![question];
+        while let Ok(question) = questions.try_recv() {
+            waiting.push(question);
+        }
+        waiting.retain(|question| !question.is_closed());
+        if waiting.is_empty() {
+            continue;
+        }
+        next_read_at = Instant::now() + READ_INTERVAL;
+        let answer = read_versions(core, store).await;
+        for question in waiting {
+            // The receiver is gone when its time is over.
+            let _ = question.send(answer.clone());
         }
-        let answer = known.as_ref().map(|(_, versions)| Arc::clone(versions));
-        // The receiver is gone when its time is over.
-        let _ = question.send(answer);
     }
 }
 
-async fn read_versions(core: &EntryCore, store: &impl SoftwareStore) -> Option<RememberedVersions> {
+async fn read_versions(
+    core: &EntryCore,
+    store: &impl SoftwareStore,
+) -> Option<Arc<StoredVersions>> {
     let versions = match timeout(READ_TIMEOUT, store.read()).await {
         Ok(Ok(versions)) => versions,
         Ok(Err(error)) => {
@@ -157,5 +167,5 @@
     };
     core.state().software.adopt(WallTime::now(), &versions);
     core.software_memory.notify_unpublished();
-    Some(versions.into())
+    Some(Arc::new(versions))
 }
--- a/crates/amaranth-relay/tests/relay/software_versions.rs
+++ b/crates/amaranth-relay/tests/relay/software_versions.rs
@@ -13,7 +13,7 @@
 use amaranth_relay::agent::{self, AgentCore};
 use amaranth_relay::feed::FeedEvent;
 use amaranth_relay::origin_exchange::publish_origins;
-use amaranth_relay::software_memory;
+use amaranth_relay::software_memory::{self, SoftwareStore};
 use amaranth_relay::store_reader::{ReaderOptions, StoreReader};
 use amaranth_wire::transport::ServerHandle;
 use rstest::rstest;
@@ -292,6 +292,50 @@
     assert_eq!(remembered.len(), 2);
 }
 
+/// How an entry's knowledge of a new version lags behind the store.
+#[derive(Debug, Clone, Copy)]
+enum Lag {
+    /// The entry that began the stream has not published the version yet.
+    Unpublished,
+    /// The entry read what the store remembers just before the version was published.
+    ReadBefore,
+}
+
+/// An entry that is out of step knows no engine of the new version, nor an agent that tells of its streams.
+#[rstest]
+#[case::unpublished(Lag::Unpublished)]
+#[case::read_before(Lag::ReadBefore)]
+#[tokio::test]
+async fn a_stream_of_a_version_that_has_just_joined_does_not_go_on_at_another_one(
+    #[case] lag: Lag,
+) {
+    let old = VersionedEngine::bind("127.0.0.1", "v1", Beginning::Held).await;
+    let entry = TestEntry::bind();
+    entry.configure(1, vec![route(RouteKind::Stream, true, 2)]);
+    let listed = vec![old.announcement(0, "")];
+    entry.core.apply_registry(FeedEvent::Snapshot(listed));
+    entry.record_registry_read();
+    let store = MemoryStore::holding(&[("v1", None)]);
+    let _tasks = software_memory::spawn(&entry.core, store.clone());
+    if matches!(lag, Lag::ReadBefore) {
+        let answer = entry.call(&take_up("before", "other")).await;
+        assert_eq!(status(&answer), "200", "there is one version");
+    }
+    store.list("v1.1");
+    if matches!(lag, Lag::ReadBefore) {
+        let version = RememberedVersion {
+            service: "s".parse().expect("the name is valid"),
+            software: "v1.1".parse().expect("any text is a version"),
+            removed_at: None,
+        };
+        let published = store.publish(&[version]).await;
+        published.expect("the store is not away");
+    }
+    let answer = entry.call(&take_up("again", "s")).await;
+    assert_eq!(status(&answer), "503", "{answer}");
+    assert!(!old.resumed().contains(&"again".to_owned()));
+}
+
 /// Returns the versions that the events of an answer state.
 fn versions(answer: &str) -> Vec<String> {
     let data = answer
--- a/crates/amaranth-relay/tests/relay/support.rs
+++ b/crates/amaranth-relay/tests/relay/support.rs
@@ -1,7 +1,7 @@
 //! Test support: a small header codec, scripted endpoints, and callers that write raw HTTP.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
 
 use amaranth_core::ids::{EndpointId, SoftwareVersion};
@@ -19,7 +19,7 @@
     CallerLimits, EngineRule, ModelRule, RouteKind, RouteRule, RoutingConfig, ServiceRule,
     WeightedService,
 };
-use amaranth_dispatch::software_history::RememberedVersion;
+use amaranth_dispatch::software_history::{ListedVersion, RememberedVersion, StoredVersions};
 use amaranth_dispatch::teams::TeamRule;
 use amaranth_relay::call_codec::{AnswerMetadata, CallCodec, ForwardContext, HeadError};
 use amaranth_relay::caller_server::CallerServer;
@@ -589,7 +589,11 @@
                 removed_at: None,
             });
         }
-        let store = MemoryStore(Arc::new(Mutex::new(Some(versions))));
+        let store = MemoryStore::default();
+        *store.lock() = Some(StoredVersions {
+            listed: Vec::new(),
+            remembered: versions,
+        });
         VersionMemory {
             _tasks: software_memory::spawn(&self.core, store),
             refresher,
@@ -641,7 +645,7 @@
 
 /// The versions that entries remember in a store, or nothing while the store is away.
 #[derive(Debug, Clone, Default)]
-pub struct MemoryStore(Arc<Mutex<Option<Vec<RememberedVersion>>>>);
+pub struct MemoryStore(Arc<Mutex<Option<StoredVersions>>>);
 
 impl MemoryStore {
     /// Returns a store that remembers versions of service `s`, with the times at which they left.
@@ -654,19 +658,38 @@
                 removed_at: *removed_at,
             })
             .collect();
-        Self(Arc::new(Mutex::new(Some(versions))))
+        Self(Arc::new(Mutex::new(Some(StoredVersions {
+            listed: Vec::new(),
+            remembered: versions,
+        }))))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Option<StoredVersions>> {
+        self.0.lock().expect("no task panicked")
+    }
+
+    /// Adds an endpoint of service `s` with this version to the registry.
+    pub fn list(&self, software: &str) {
+        let version = ListedVersion {
+            service: "s".parse().expect("the name is valid"),
+            software: software.parse().expect("any text is a version"),
+        };
+        let mut stored = self.lock();
+        let stored = stored.as_mut().expect("the store is not away");
+        stored.listed.push(version);
     }
 
     /// Returns what is remembered.
     pub fn versions(&self) -> Option<Vec<RememberedVersion>> {
-        self.0.lock().expect("no task panicked").clone()
+        self.lock().as_ref().map(|stored| stored.remembered.clone())
     }
 }
 
 impl SoftwareStore for MemoryStore {
     async fn publish(&self, versions: &[RememberedVersion]) -> Result<(), PortError> {
-        let mut known = self.0.lock().expect("no task panicked");
-        let known = known.as_mut().ok_or(PortError("away".to_owned()))?;
+        let mut stored = self.lock();
+        let stored = stored.as_mut().ok_or(PortError("away".to_owned()))?;
+        let known = &mut stored.remembered;
         for version in versions {
             known.retain(|other| {
                 other.service != version.service || other.software != version.software
@@ -676,8 +699,9 @@
         Ok(())
     }
 
-    async fn read(&self) -> Result<Vec<RememberedVersion>, PortError> {
-        self.versions().ok_or(PortError("away".to_owned()))
+    async fn read(&self) -> Result<StoredVersions, PortError> {
+        let stored = self.lock().clone();
+        stored.ok_or(PortError("away".to_owned()))
     }
 }
 
