--- a/crates/amaranth-dispatch/src/shared_speed.rs
+++ b/crates/amaranth-dispatch/src/shared_speed.rs
@@ -48,15 +48,16 @@
         after: &EngineContents,
     ) {
         let elapsed = now.since(std::mem::replace(&mut self.observed_at, now));
-        if elapsed > MAX_REPORT_INTERVAL || before.pending_prefills + after.pending_prefills > 0 {
+        let has_prefills = before.pending_prefills > 0 || after.pending_prefills > 0;
+        if elapsed > MAX_REPORT_INTERVAL || has_prefills {
             return;
         }
-        let (mut runs, mut events) = (0, 0);
+        let (mut runs, mut events) = (0, 0_u64);
         for run in &after.runs {
             let known = before.runs.iter().find(|known| known.run == run.run);
             if let Some(known) = known.filter(|known| known.events > 0) {
                 runs += 1;
-                events += run.events.saturating_sub(known.events);
+                events = events.saturating_add(run.events.saturating_sub(known.events));
             }
         }
         if events < MIN_REPORTED_EVENTS {
