Keep a task of an entry when an agent answers another kind of call

Cause: the generated client of the calls between entries and agents panics if an answer belongs to another kind of call, as one by an agent of another release, or with changed bytes, may. The panic ended the task that asked: the one that follows the store's tables through a reader, that exchanges an engine's view, or that answers a caller.

Change: AgentLinks turns that panic into the error of the call and opens a new connection for the next one.

In agents no message ended more than its connection: the library of the calls panics in the task of a connection if a deadline is out of its range, and other connections go on.

--- a/crates/amaranth-relay/src/agent_link.rs
+++ b/crates/amaranth-relay/src/agent_link.rs
@@ -1,8 +1,10 @@
 //! Connections of an entry to the agents of engines.
 
 use std::collections::HashMap;
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -15,6 +17,7 @@
 use amaranth_dispatch::quota_grantor::{ShardAsk, ShardGrant};
 use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin};
 use amaranth_wire::engine_agent::{self, EngineAgentRpcClient, SharedUpdates, TableCursors};
+use futures::FutureExt;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 
@@ -56,8 +59,8 @@
         wait: Duration,
     ) -> Result<EngineView, AgentError> {
         let client = self.client(address).await?;
-        let answer = client.exchange(context(wait), usage, seen, wait).await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(address, client.exchange(context(wait), usage, seen, wait))
+            .await
     }
 
     /// Requests a load from an agent and waits for its outcome.
@@ -73,8 +76,8 @@
     ) -> Result<LoadOutcome, AgentError> {
         let client = self.client(address).await?;
         let context = context(request.max_wait);
-        let answer = client.prepare(context, usage, request).await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(address, client.prepare(context, usage, request))
+            .await
     }
 
     /// Asks an agent for the permit to send one call to an endpoint with a limit.
@@ -89,8 +92,11 @@
         rate: CallRate,
     ) -> Result<CallPermit, AgentError> {
         let client = self.client(address).await?;
-        let answer = client.permit(context(Duration::ZERO), endpoint, rate).await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(
+            address,
+            client.permit(context(Duration::ZERO), endpoint, rate),
+        )
+        .await
     }
 
     /// Asks an agent for what this entry lacks of the store's tables, without records that hold
@@ -106,10 +112,11 @@
         wait: Duration,
     ) -> Result<SharedUpdates, AgentError> {
         let client = self.client(address).await?;
-        let answer = client
-            .read_shared_tables(context(wait), cursors, wait)
-            .await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(
+            address,
+            client.read_shared_tables(context(wait), cursors, wait),
+        )
+        .await
     }
 
     /// Tells an agent of the software versions at which streams began.
@@ -123,10 +130,11 @@
         origins: Vec<StreamOrigin>,
     ) -> Result<(), AgentError> {
         let client = self.client(address).await?;
-        let answer = client
-            .record_origins(context(Duration::ZERO), origins)
-            .await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(
+            address,
+            client.record_origins(context(Duration::ZERO), origins),
+        )
+        .await
     }
 
     /// Asks an agent for the software version at which a stream began.
@@ -140,8 +148,8 @@
         stream: StreamKey,
     ) -> Result<Option<SoftwareVersion>, AgentError> {
         let client = self.client(address).await?;
-        let answer = client.find_origin(context(Duration::ZERO), stream).await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(address, client.find_origin(context(Duration::ZERO), stream))
+            .await
     }
 
     /// Sends an agent this entry's findings, if there are any to send, and returns those that the entry
@@ -158,10 +166,11 @@
         wait: Duration,
     ) -> Result<HubUpdate, AgentError> {
         let client = self.client(address).await?;
-        let answer = client
-            .exchange_findings(context(wait), own, cursor, wait)
-            .await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(
+            address,
+            client.exchange_findings(context(wait), own, cursor, wait),
+        )
+        .await
     }
 
     /// Asks an agent for tokens of shards of teams' quotas.
@@ -175,8 +184,8 @@
         asks: Vec<ShardAsk>,
     ) -> Result<Vec<ShardGrant>, AgentError> {
         let client = self.client(address).await?;
-        let answer = client.lease_quota(context(Duration::ZERO), asks).await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(address, client.lease_quota(context(Duration::ZERO), asks))
+            .await
     }
 
     /// Asks an agent for the turn of a prompt at its engine and waits for it.
@@ -190,8 +199,11 @@
         request: TurnRequest,
     ) -> Result<TurnGrant, AgentError> {
         let client = self.client(address).await?;
-        let answer = client.take_turn(context(request.max_wait), request).await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(
+            address,
+            client.take_turn(context(request.max_wait), request),
+        )
+        .await
     }
 
     /// Ends the turn of a prompt.
@@ -201,8 +213,30 @@
     /// Returns an error if the agent can't be reached in time.
     pub async fn end_turn(&self, address: SocketAddr, turn: TurnId) -> Result<(), AgentError> {
         let client = self.client(address).await?;
-        let answer = client.end_turn(context(Duration::ZERO), turn).await;
-        answer.map_err(|error| self.record_failure(address, &error))
+        self.answer(address, client.end_turn(context(Duration::ZERO), turn))
+            .await
+    }
+
+    /// Waits for the answer of an agent.
+    ///
+    /// The generated client panics if an answer is one to another kind of call, as an agent of another
+    /// release may send it. The task that asked must not end by it.
+    async fn answer<Answer>(
+        &self,
+        address: SocketAddr,
+        asking: impl Future<Output = Result<Answer, RpcError>>,
+    ) -> Result<Answer, AgentError> {
+        match AssertUnwindSafe(asking).catch_unwind().await {
+            Ok(answer) => answer.map_err(|error| self.record_failure(address, &error)),
+            Err(_) => {
+                self.lock().remove(&address);
+                Err(AgentError {
+                    address,
+                    failure: AgentFailure::ProcessEnded,
+                    reason: "the answer is to another kind of call".to_owned(),
+                })
+            }
+        }
     }
 
     async fn client(&self, address: SocketAddr) -> Result<EngineAgentRpcClient, AgentError> {
