Guard all links between processes against answers to another kind of call

Change: amaranth_wire::answers::answer_of holds the guard, and the links use it. amaranthctl does not: there the panic ends one command.

--- a/crates/amaranth-agent/src/entry_link.rs
+++ b/crates/amaranth-agent/src/entry_link.rs
@@ -5,6 +5,7 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use amaranth_wire::answers::answer_of;
 use amaranth_wire::entry::{EntryRpcClient, connect};
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -44,7 +45,7 @@
         let client = self.client().await?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + self.timeout;
-        match timeout(self.timeout, call(client, context)).await {
+        match timeout(self.timeout, answer_of(call(client, context))).await {
             Ok(Ok(reply)) => Some(reply),
             Ok(Err(error)) => {
                 self.abandon(&error.to_string());
--- a/crates/amaranth-entry/src/agent_link.rs
+++ b/crates/amaranth-entry/src/agent_link.rs
@@ -6,6 +6,7 @@
 
 use amaranth_core::errors::Error;
 use amaranth_wire::agent::{self, AgentRpcClient};
+use amaranth_wire::answers::answer_of;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 
@@ -113,7 +114,7 @@
         let linked = self.client().await?;
         let mut context = tarpc::context::current();
         context.deadline = Instant::now() + timeout;
-        match call(linked.client.clone(), context).await {
+        match answer_of(call(linked.client.clone(), context)).await {
             Ok(reply) => reply.map_err(LinkError::Refused),
             Err(error) => {
                 self.abandon(&linked);
--- a/crates/amaranth-follow/src/bootstrap.rs
+++ b/crates/amaranth-follow/src/bootstrap.rs
@@ -8,6 +8,7 @@
 use amaranth_core::Result;
 use amaranth_core::errors::internal;
 use amaranth_core::ids::ConfigRevision;
+use amaranth_wire::answers::answer_of;
 use amaranth_wire::entry::{EntryRpcClient, SnapshotPart, connect};
 use async_trait::async_trait;
 use tarpc::context::Context;
@@ -112,8 +113,7 @@
     revision: Option<ConfigRevision>,
     index: u32,
 ) -> Result<SnapshotPart> {
-    client
-        .snapshot_part(Context::current(), revision, index)
+    answer_of(client.snapshot_part(Context::current(), revision, index))
         .await
         .map_err(|error| internal(error.to_string()))?
 }
--- a/crates/amaranth-relay/src/agent_link.rs
+++ b/crates/amaranth-relay/src/agent_link.rs
@@ -4,7 +4,6 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::panic::AssertUnwindSafe;
 use std::sync::{Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -16,8 +15,8 @@
 use amaranth_dispatch::prefill_turns::{TurnGrant, TurnId, TurnRequest};
 use amaranth_dispatch::quota_grantor::{ShardAsk, ShardGrant};
 use amaranth_dispatch::stream_origins::{StreamKey, StreamOrigin};
+use amaranth_wire::answers::answer_of;
 use amaranth_wire::engine_agent::{self, EngineAgentRpcClient, SharedUpdates, TableCursors};
-use futures::FutureExt;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 
@@ -218,25 +217,13 @@
     }
 
     /// Waits for the answer of an agent.
-    ///
-    /// The generated client panics if an answer is one to another kind of call, as an agent of another
-    /// release may send it. The task that asked must not end by it.
     async fn answer<Answer>(
         &self,
         address: SocketAddr,
         asking: impl Future<Output = Result<Answer, RpcError>>,
     ) -> Result<Answer, AgentError> {
-        match AssertUnwindSafe(asking).catch_unwind().await {
-            Ok(answer) => answer.map_err(|error| self.record_failure(address, &error)),
-            Err(_) => {
-                self.lock().remove(&address);
-                Err(AgentError {
-                    address,
-                    failure: AgentFailure::ProcessEnded,
-                    reason: "the answer is to another kind of call".to_owned(),
-                })
-            }
-        }
+        let answer = answer_of(asking).await;
+        answer.map_err(|error| self.record_failure(address, &error))
     }
 
     async fn client(&self, address: SocketAddr) -> Result<EngineAgentRpcClient, AgentError> {
--- a/crates/amaranth-wire/src/lib.rs
+++ b/crates/amaranth-wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! reply is the heartbeat of an open answer.
 
 pub mod agent;
+pub mod answers;
 pub mod codec;
 pub mod engine_agent;
 pub mod entry;
