Replace two cases of a test that could not fail

Cause: without the fix, the stream's cases of a_refusal_that_is_repeated_on_a_kept_connection and the test of an id that is used again passed as well: a stream is not sent twice to one endpoint, and the call was sent four times, after which the connection held more than one answer and was closed.

Change: the id that is used again is tested for both kinds of call, with retries spent, so that the connection holds one repeated refusal when the second call comes.

--- a/crates/amaranth-relay/tests/relay/refusals.rs
+++ b/crates/amaranth-relay/tests/relay/refusals.rs
@@ -17,6 +17,9 @@
     read_request, route, status, stream_head,
 };
 
+/// Time after which an endpoint answers a call.
+const ANSWER_TIME: Duration = Duration::from_millis(30);
+
 /// An endpoint that refuses some calls, and writes each refusal once more when the next call arrives on its
 /// connection.
 struct RepeatingEndpoint {
@@ -32,8 +35,8 @@
 }
 
 impl RepeatingEndpoint {
-    /// Starts an endpoint that refuses the first `refused` calls, and takes `work` for each other one.
-    async fn bind(refused: usize, work: Duration) -> Self {
+    /// Starts an endpoint that refuses the first `refused` calls.
+    async fn bind(refused: usize) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("loopback has a free port");
@@ -43,7 +46,7 @@
         let seen = Arc::clone(&runs);
         let task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                tokio::spawn(serve(stream, Arc::clone(&left), Arc::clone(&seen), work));
+                tokio::spawn(serve(stream, Arc::clone(&left), Arc::clone(&seen)));
             }
         });
         Self {
@@ -59,12 +62,7 @@
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    left: Arc<Mutex<usize>>,
-    runs: Arc<Mutex<Vec<String>>>,
-    work: Duration,
-) {
+async fn serve(mut stream: TcpStream, left: Arc<Mutex<usize>>, runs: Arc<Mutex<Vec<String>>>) {
     let mut repeated: Option<String> = None;
     while let Some(request) = read_request(&mut stream).await {
         if let Some(refusal) = repeated.take()
@@ -84,7 +82,6 @@
             not_run(&id)
         } else {
             runs.lock().expect("no task panicked").push(id.clone());
-            sleep(work).await;
             let body = event(1) + &event(2) + LAST_CHUNK;
             if header(&request, "wants").is_some() {
                 stream_head(&id) + &body
@@ -92,6 +89,7 @@
                 complete_answer("200 OK", &id, "ran")
             }
         };
+        sleep(ANSWER_TIME).await;
         if stream.write_all(answer.as_bytes()).await.is_err() {
             return;
         }
@@ -103,19 +101,15 @@
 }
 
 #[rstest]
-#[case::plain(RouteKind::NonIdempotent, "")]
-#[case::stream(RouteKind::Stream, "Wants: m\r\n")]
 #[tokio::test]
 async fn a_refusal_that_is_repeated_on_a_kept_connection_is_not_the_answer_to_the_next_send(
-    #[case] kind: RouteKind,
-    #[case] extra: &str,
     #[values(1, 2, 3)] refused: usize,
 ) {
-    let endpoint = RepeatingEndpoint::bind(refused, Duration::from_millis(30)).await;
+    let endpoint = RepeatingEndpoint::bind(refused).await;
     let entry = TestEntry::bind();
-    entry.configure(1, vec![route(kind, false, 1)]);
+    entry.configure(1, vec![route(RouteKind::NonIdempotent, false, 1)]);
     entry.announce_addresses(&[endpoint.address]);
-    let answer = entry.call(&post("c1", extra)).await;
+    let answer = entry.call(&post("c1", "")).await;
     sleep(Duration::from_millis(100)).await;
     let runs = endpoint.runs();
     assert!(runs.len() <= 1, "ran {} times: {answer}", runs.len());
@@ -125,17 +119,34 @@
     );
 }
 
+/// Spends the retries of an entry, so that a refused call is not sent again.
+fn spend_retries(entry: &TestEntry) {
+    let service = "s".parse().expect("the name is valid");
+    let now = entry.core.now();
+    let mut state = entry.core.state();
+    while state.retries.allowance(now, &service).acquire() {}
+}
+
 /// A caller that uses the id of an earlier call again.
+#[rstest]
+#[case::plain(RouteKind::NonIdempotent, "")]
+#[case::stream(RouteKind::Stream, "Wants: m\r\n")]
 #[tokio::test]
-async fn a_refusal_that_is_repeated_is_not_the_answer_to_a_later_call_with_the_same_id() {
-    let endpoint = RepeatingEndpoint::bind(4, Duration::from_millis(30)).await;
+async fn a_refusal_that_is_repeated_is_not_the_answer_to_a_later_call_with_the_same_id(
+    #[case] kind: RouteKind,
+    #[case] extra: &str,
+) {
+    let endpoint = RepeatingEndpoint::bind(1).await;
     let entry = TestEntry::bind();
-    entry.configure(1, vec![route(RouteKind::NonIdempotent, false, 1)]);
+    entry.configure(1, vec![route(kind, false, 1)]);
     entry.announce_addresses(&[endpoint.address]);
-    assert_eq!(status(&entry.call(&post("c1", "")).await), "503");
-    let answer = entry.call(&post("c1", "")).await;
+    spend_retries(&entry);
+    let first = entry.call(&post("c1", extra)).await;
+    assert_eq!(status(&first), "503", "{first}");
+    assert_eq!(endpoint.runs().len(), 0);
+    let answer = entry.call(&post("c1", extra)).await;
     sleep(Duration::from_millis(100)).await;
-    assert_eq!(endpoint.runs().len(), 1);
+    assert_eq!(endpoint.runs().len(), 1, "{answer}");
     assert!(!promises_not_run(&status(&answer)), "{answer}");
 }
 
