Notice a call that its endpoint does not read although the kernel buffers it

What callers saw: a call got no answer until its deadline, and 502, on a connection whose endpoint had answered an earlier call of 4 MiB before it read the body.

Cause: such a connection is closed when bytes wait to be written. The kernel accepts up to 4 MiB for a peer that takes no more, so that nothing waits although the endpoint reads nothing; whether the last bytes fit depends on how far the kernel has grown the buffer.

Change: the kernel accepts at most 64 KiB beyond what the endpoint's window takes. What is in flight is not limited by it.

--- a/crates/amaranth-relay/src/endpoint_pool.rs
+++ b/crates/amaranth-relay/src/endpoint_pool.rs
@@ -42,6 +42,10 @@
 /// Fraction of the endpoint's idle timeout for which a connection is reused.
 const IDLE_TIMEOUT_FRACTION: f64 = 0.6;
 
+/// Bytes that the kernel accepts for a peer that takes no more. Otherwise it would buffer megabytes of
+/// a call that the endpoint does not read, and the call would count as written.
+const MAX_UNSENT_BYTES: u32 = 64 << 10;
+
 /// Limit on idle connections to one endpoint.
 const MAX_IDLE: usize = 32;
 
@@ -291,6 +295,10 @@
 fn set_options(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
+    // Not all kernels know the option. Without it, less of an unread call is noticed.
+    if let Err(error) = socket.set_tcp_notsent_lowat(MAX_UNSENT_BYTES) {
+        log::debug!("event=socket_option_unavailable option=notsent_lowat error={error}");
+    }
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
     socket.set_tcp_keepalive(
         &TcpKeepalive::new()
