Compare the ids of answers in the HTTP client of the product's own interface

Callers could get the answer to another call, a claim the offset of another record, and an agent the answer to another order: an answer that a peer sends once more on a kept connection was taken for that of the next request. A call that was refused and sent again on the same connection could be refused by the repeated refusal and run.

The client pooled connections and compared nothing. Requests of the ports now carry an id; an answer that names another one is not returned and leaves the outcome uncertain, and a connection is used again only after a success that names its request. Peers that name no request get a connection for each. The stand-ins name the request in each answer.

--- a/crates/amaranth-ports/src/http_client.rs
+++ b/crates/amaranth-ports/src/http_client.rs
@@ -3,9 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amaranth_core::ids::RequestId;
 use bytes::Bytes;
 use http::request::Builder;
-use http::{Method, Request, Response, StatusCode};
+use http::{HeaderValue, Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -78,19 +79,37 @@
         self.address
     }
 
-    /// Returns a builder of a request for `path_and_query`, which begins with a slash.
+    /// Returns a builder of a request for `path_and_query`, which begins with a slash. The request
+    /// has no id, so any answer on its connection is taken for its own.
     pub fn request(&self, method: Method, path_and_query: &str) -> Builder {
         Request::builder()
             .method(method)
             .uri(format!("http://{}{path_and_query}", self.address))
     }
 
+    /// Returns a builder of a request that carries an id, with which its answer is compared.
+    pub fn identified_request(
+        &self,
+        id: RequestId,
+        method: Method,
+        path_and_query: &str,
+    ) -> Builder {
+        self.request(method, path_and_query)
+            .header(REQUEST_ID, id.to_string())
+    }
+
     /// Sends a request and returns the answer with its body unread.
     ///
+    /// A peer may send an answer once more, at the point where the next one is expected. The answer
+    /// to a request with an id is therefore not returned if it names another id, and the connection
+    /// is used again only after a success that names the id: a request that was refused may be sent
+    /// again under its id.
+    ///
     /// # Errors
     ///
     /// `Unreachable` when no connection was established for the request, `Uncertain` when one was
-    /// and no response head arrived within `timeout`, `Refused` when the request can't be built.
+    /// and no response head arrived within `timeout` or the head names another request, `Refused`
+    /// when the request can't be built.
     pub async fn send(
         &self,
         builder: Builder,
@@ -100,9 +119,13 @@
         let mut request = builder
             .body(Full::new(body))
             .map_err(|error| PortError::Refused(format!("request can't be built: {error}")))?;
+        let id = request.headers().get(REQUEST_ID).cloned();
         let connection = capture_connection(&mut request);
         match tokio::time::timeout(timeout, self.client.request(request)).await {
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => match id {
+                Some(id) => self.check_identity(&connection, &id, response),
+                None => Ok(response),
+            },
             Ok(Err(error)) if error.is_connect() => Err(self.unreachable(&error)),
             Ok(Err(error)) => Err(self.failure(&connection, &error)),
             Err(_) => Err(self.failure(&connection, &format!("no answer in {timeout:?}"))),
@@ -145,6 +168,26 @@
             .map_err(|error| self.uncertain(&format!("answer is malformed: {error}")))
     }
 
+    /// Returns the answer unless it names another request than `id`.
+    fn check_identity(
+        &self,
+        connection: &CaptureConnection,
+        id: &HeaderValue,
+        response: Response<Incoming>,
+    ) -> PortResult<Response<Incoming>> {
+        let named = response.headers().get(REQUEST_ID);
+        let is_named = named == Some(id);
+        if (!is_named || !response.status().is_success())
+            && let Some(metadata) = connection.connection_metadata().as_ref()
+        {
+            metadata.poison();
+        }
+        if named.is_some() && !is_named {
+            return Err(self.uncertain(&"the answer belongs to another request"));
+        }
+        Ok(response)
+    }
+
     fn unreachable(&self, reason: &dyn std::fmt::Display) -> PortError {
         PortError::Unreachable(format!("{}: {reason}", self.address))
     }
--- a/crates/amaranth-ports/src/http_engine.rs
+++ b/crates/amaranth-ports/src/http_engine.rs
@@ -18,7 +18,7 @@
     CacheEvent, EngineAnswer, EngineCall, EngineInventory, EngineLoadReport, EnginePort, EngineRole,
 };
 use crate::errors::{PortError, PortResult};
-use crate::http_client::{HttpClient, REQUEST_ID, check_status, drain_body};
+use crate::http_client::{HttpClient, check_status, drain_body};
 use crate::sse::{DONE, SseDecoder};
 
 /// Timeout of reading a report and of cancelling a request.
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Returns a builder of a request under an id of its own.
+    fn request(&self, method: Method, path: &str) -> Builder {
+        let id = RequestId(rand::random());
+        self.client.identified_request(id, method, path)
+    }
+
     async fn send_order<T: Serialize + Sync>(
         &self,
         path: &str,
@@ -73,13 +79,13 @@
     ) -> PortResult<()> {
         let body = serde_json::to_vec(order)
             .map_err(|error| PortError::Refused(format!("order can't be encoded: {error}")))?;
-        let request = json_request(self.client.request(Method::POST, path));
+        let request = json_request(self.request(Method::POST, path));
         let answer = self.client.fetch(request, body.into(), timeout).await?;
         check_status(answer).map(|_| ())
     }
 
     async fn read_report<T: serde::de::DeserializeOwned>(&self, path: &str) -> PortResult<T> {
-        let request = self.client.request(Method::GET, path);
+        let request = self.request(Method::GET, path);
         self.client
             .fetch_json(request, Bytes::new(), REPORT_TIMEOUT)
             .await
@@ -233,8 +239,10 @@
     }
 
     async fn complete(&self, call: EngineCall) -> PortResult<EngineAnswer> {
-        let request = json_request(self.client.request(Method::POST, call.path))
-            .header(REQUEST_ID, call.id.to_string())
+        let request = self
+            .client
+            .identified_request(call.id, Method::POST, call.path);
+        let request = json_request(request)
             .header(PRIORITY, call.priority.to_string())
             .header("traceparent", call.trace.to_string());
         self.open_stream(request, call.body).await
@@ -242,13 +250,13 @@
 
     async fn resume(&self, id: RequestId, from: u64) -> PortResult<EngineAnswer> {
         let path = format!("/requests/{id}/events?from={from}");
-        let request = self.client.request(Method::GET, &path);
+        let request = self.request(Method::GET, &path);
         self.open_stream(request, Bytes::new()).await
     }
 
     async fn cancel(&self, id: RequestId) -> PortResult<()> {
         let path = format!("/requests/{id}");
-        let request = self.client.request(Method::DELETE, &path);
+        let request = self.request(Method::DELETE, &path);
         let answer = self
             .client
             .fetch(request, Bytes::new(), REPORT_TIMEOUT)
--- a/crates/amaranth-ports/src/http_log.rs
+++ b/crates/amaranth-ports/src/http_log.rs
@@ -3,10 +3,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use amaranth_core::ids::LogOffset;
+use amaranth_core::ids::{LogOffset, RequestId};
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::Method;
+use http::request::Builder;
 use serde::{Deserialize, Serialize};
 use serde_with::base64::Base64;
 use serde_with::serde_as;
@@ -88,13 +89,19 @@
             client: HttpClient::new(address),
         }
     }
+
+    /// Returns a builder of a request under an id of its own.
+    fn request(&self, method: Method, path: &str) -> Builder {
+        let id = RequestId(rand::random());
+        self.client.identified_request(id, method, path)
+    }
 }
 
 #[async_trait]
 impl LogPort for HttpLog {
     async fn append(&self, stream: LogStream, record: Bytes) -> PortResult<LogOffset> {
         let path = format!("/streams/{stream}/records");
-        let request = self.client.request(Method::POST, &path);
+        let request = self.request(Method::POST, &path);
         let appended: AppendedOffset = self
             .client
             .fetch_json(request, record, ANSWER_TIMEOUT)
@@ -113,7 +120,7 @@
             "/streams/{stream}/records?from={from}&limit={limit}&wait_ms={}",
             wait.as_millis()
         );
-        let request = self.client.request(Method::GET, &path);
+        let request = self.request(Method::GET, &path);
         let page: EncodedPage = self
             .client
             .fetch_json(request, Bytes::new(), wait + ANSWER_TIMEOUT)
--- a/crates/amaranth-ports/src/http_service.rs
+++ b/crates/amaranth-ports/src/http_service.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amaranth_core::ids::RequestId;
 use amaranth_core::request::{ServiceAnswer, ServiceRequest};
 use async_trait::async_trait;
 use bytes::Bytes;
@@ -10,7 +11,7 @@
 use http::header::CONTENT_TYPE;
 
 use crate::errors::{PortError, PortResult};
-use crate::http_client::{HttpClient, REQUEST_ID};
+use crate::http_client::HttpClient;
 use crate::service::ServicePort;
 
 /// The header that carries the caller's idempotency key to the service.
@@ -41,8 +42,7 @@
             .map_err(|_| PortError::Refused(format!("{:?} is not a method", request.method)))?;
         let mut builder = self
             .client
-            .request(method, &request.path)
-            .header(REQUEST_ID, request.id.to_string())
+            .identified_request(request.id, method, &request.path)
             .header("traceparent", request.trace.to_string());
         if let Some(content_type) = &request.content_type {
             builder = builder.header(CONTENT_TYPE, content_type);
@@ -67,7 +67,8 @@
     }
 
     async fn probe(&self) -> bool {
-        let request = self.client.request(Method::GET, "/healthz");
+        let id = RequestId(rand::random());
+        let request = self.client.identified_request(id, Method::GET, "/healthz");
         let answer = self
             .client
             .fetch(request, Bytes::new(), PROBE_TIMEOUT)
--- a/crates/amaranth-ports/src/http_vm_list.rs
+++ b/crates/amaranth-ports/src/http_vm_list.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use amaranth_core::ids::RequestId;
 use async_trait::async_trait;
 use bytes::Bytes;
 use http::Method;
@@ -32,7 +33,8 @@
 #[async_trait]
 impl VmListPort for HttpVmList {
     async fn list(&self) -> PortResult<Vec<VmRecord>> {
-        let request = self.client.request(Method::GET, "/vms");
+        let id = RequestId(rand::random());
+        let request = self.client.identified_request(id, Method::GET, "/vms");
         self.client
             .fetch_json(request, Bytes::new(), ANSWER_TIMEOUT)
             .await
--- a/crates/amaranth-standin/src/server.rs
+++ b/crates/amaranth-standin/src/server.rs
@@ -3,7 +3,11 @@
 use std::io;
 use std::net::SocketAddr;
 
+use amaranth_ports::http_client::REQUEST_ID;
 use axum::Router;
+use axum::extract::Request;
+use axum::middleware::{self, Next};
+use axum::response::Response;
 use hyper_util::rt::TokioIo;
 use hyper_util::service::TowerToHyperService;
 use tokio::net::{TcpListener, TcpStream};
@@ -19,7 +23,7 @@
 }
 
 impl StandinServer {
-    /// Binds `address` and serves `router` on it.
+    /// Binds `address` and serves `router` on it. Each answer names the id of its request.
     ///
     /// # Errors
     ///
@@ -27,6 +31,7 @@
     pub async fn bind(address: SocketAddr, router: Router) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
+        let router = router.layer(middleware::from_fn(echo_request_id));
         let shutdown = CancellationToken::new();
         let task = tokio::spawn(accept_connections(listener, router, shutdown.clone()));
         Ok(Self {
@@ -61,6 +66,16 @@
     }
 }
 
+/// Copies the id of a request to its answer.
+async fn echo_request_id(request: Request, next: Next) -> Response {
+    let id = request.headers().get(REQUEST_ID).cloned();
+    let mut response = next.run(request).await;
+    if let Some(id) = id {
+        response.headers_mut().insert(REQUEST_ID, id);
+    }
+    response
+}
+
 /// Accepts connections until `shutdown` is cancelled, then waits for their calls to end.
 ///
 /// Aborting the task drops and thereby closes every connection.
