Refuse calls that a stopping entry can't end, and answer those that it can't finish

During a planned stop callers lost calls: an entry that got SIGTERM passed on calls that outlasted its grace period, and cut them without an answer, also ones that may not be repeated. Bodies that were still read and calls that waited for an endpoint were not looked at again.

The cause: a call was accepted by four times its objective, whatever its route's calls take and whatever the caller's timeout allows, and only once, at its head. At the end of the grace period all connections were closed.

A call is now accepted if its deadline lies within the grace that is left, or if the slowest of the route's last 64 calls, with a margin, does; of a route of which fewer than eight calls have ended nothing is known. The decision is repeated while the body is read and while the call waits, and just before it is sent. A call that was sent and has not ended shortly before the end gets 502, which promises nothing. Answers of a stopping entry close their connection.

stop_policy.rs: its cases state a timeout and a pace now; what they assert is unchanged.

--- a/crates/amaranth-dispatch/src/lib.rs
+++ b/crates/amaranth-dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod adapter_demand;
 pub mod adapter_manager;
 pub mod admission_queue;
+pub mod answer_pace;
 pub mod attempts;
 pub mod call;
 pub mod call_limiter;
--- a/crates/amaranth-dispatch/src/routes.rs
+++ b/crates/amaranth-dispatch/src/routes.rs
@@ -259,6 +259,11 @@
             .find(|route| path.starts_with(&route.path_prefix))
     }
 
+    /// Iterates over the routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<RouteRule>> {
+        self.routes.values().flatten()
+    }
+
     /// Returns the configuration of a service.
     pub fn service(&self, name: &ServiceName) -> Option<&Arc<ServiceRule>> {
         self.services.get(name)
--- a/crates/amaranth-dispatch/tests/stop_policy.rs
+++ b/crates/amaranth-dispatch/tests/stop_policy.rs
@@ -3,17 +3,31 @@
 use std::time::Duration;
 
 use amaranth_core::time::Timestamp;
+use amaranth_dispatch::answer_pace::{PaceHistory, PaceRatio, RoutePace, expected_time};
 use amaranth_dispatch::stop_policy::{ExpectedCall, StopPolicy};
 use rstest::rstest;
 
 const GRACE: Duration = Duration::from_millis(7_600);
 
+/// A deadline of callers that no grace period reaches.
+const LONG_WAIT: Duration = Duration::from_secs(30);
+
+fn pace(usual: &str, slowest: &str) -> Option<RoutePace> {
+    let ratio = |text: &str| text.parse().expect("the ratio is a number");
+    Some(RoutePace {
+        usual: ratio(usual),
+        slowest: ratio(slowest),
+    })
+}
+
 fn accepts(after_ms: u64, objective_ms: u64, tokens: Option<u32>) -> bool {
     let requested_at = Timestamp::from_millis(1_000);
     let policy = StopPolicy::new(requested_at, GRACE);
     let call = ExpectedCall {
         objective: Duration::from_millis(objective_ms),
         tokens,
+        time_left: LONG_WAIT,
+        pace: pace("0.5", "1"),
     };
     policy.accepts(requested_at + Duration::from_millis(after_ms), call)
 }
@@ -55,6 +69,8 @@
     let booking = ExpectedCall {
         objective: Duration::from_millis(300),
         tokens: None,
+        time_left: Duration::from_secs(5),
+        pace: pace("0.5", "2"),
     };
     let (mut accepted, mut arrived) = (0, 0);
     for millis in (1_000..13_600).step_by(50) {
@@ -69,3 +85,60 @@
     }
     assert_eq!(accepted, arrived);
 }
+
+/// Guards against calls that are accepted by their objective and outlast the process.
+#[rstest]
+#[case::unknown_pace(3_000, None, 12_000, None, false)]
+#[case::unknown_pace_and_short_timeout(3_000, None, 4_000, None, true)]
+#[case::slow_plain_call(3_000, None, 12_000, pace("13", "16"), false)]
+#[case::slow_plain_call_in_time(200, None, 12_000, pace("11", "14"), true)]
+#[case::generation_of_unknown_pace(0, Some(22), 12_000, None, false)]
+#[case::slow_generation(2_000, Some(22), 12_000, pace("3", "3"), false)]
+#[case::late_generation_with_a_short_timeout(4_000, Some(22), 3_000, pace("1", "1"), true)]
+fn a_call_is_accepted_by_its_timeout_or_by_the_recent_calls_of_its_route(
+    #[case] after_ms: u64,
+    #[case] tokens: Option<u32>,
+    #[case] time_left_ms: u64,
+    #[case] pace: Option<RoutePace>,
+    #[case] expected: bool,
+) {
+    let policy = StopPolicy::new(Timestamp::ZERO, GRACE);
+    let call = ExpectedCall {
+        objective: Duration::from_millis(if tokens.is_some() { 1_000 } else { 300 }),
+        tokens,
+        time_left: Duration::from_millis(time_left_ms),
+        pace,
+    };
+    assert_eq!(
+        policy.accepts(Timestamp::from_millis(after_ms), call),
+        expected
+    );
+}
+
+#[test]
+fn the_pace_of_a_route_is_known_after_some_calls_and_follows_the_last_ones() {
+    let mut history = PaceHistory::default();
+    let objective = Duration::from_millis(300);
+    let mut lines = Vec::new();
+    for call in 1..=120_u64 {
+        let took = Duration::from_millis(if call == 20 { 4_500 } else { 60 + call });
+        history.record("book", PaceRatio::of(took, expected_time(objective, None)));
+        if [7, 8, 20, 83, 84, 120].contains(&call) {
+            let pace = history.pace("book");
+            let text = pace.map_or("unknown".to_owned(), |pace| {
+                format!("usual {}, slowest {}", pace.usual, pace.slowest)
+            });
+            lines.push(format!("{call}: {text}"));
+        }
+    }
+    history.retain(|route| route != "book");
+    assert_eq!(history.pace("book"), None);
+    insta::assert_snapshot!(lines.join("\n"), @r"
+    7: unknown
+    8: usual 0.23, slowest 0.23
+    20: usual 0.26, slowest 15.00
+    83: usual 0.46, slowest 15.00
+    84: usual 0.46, slowest 0.48
+    120: usual 0.58, slowest 0.60
+    ");
+}
--- a/crates/amaranth-relay/src/call_record.rs
+++ b/crates/amaranth-relay/src/call_record.rs
@@ -42,6 +42,7 @@
     /// Logs success and returns an endpoint's complete answer for the caller.
     pub fn forward(&mut self, response: Response<Bytes>) -> Response<AnswerBody> {
         let (parts, bytes) = response.into_parts();
+        self.call.record_pace(&self.core);
         self.log_end("answered", parts.status.as_u16());
         let mut answer = Response::new(answer_body::full(bytes));
         *answer.status_mut() = parts.status;
@@ -64,6 +65,9 @@
         {
             return self.forward(response);
         }
+        if history.may_have_run() {
+            self.call.record_pace(&self.core);
+        }
         let refusal = if history.may_have_run() && refusal.cause.promises_not_run() {
             Refusal::new(RefusalCause::OutcomeUnknown)
         } else {
--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -3,11 +3,9 @@
 use std::sync::Arc;
 
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep};
-use amaranth_dispatch::call::{CallHead, CallProperty, GenerationNeed};
+use amaranth_dispatch::call::{CallHead, CallProperty};
 use amaranth_dispatch::memory_budget::{CallPhase, HoldPurpose, MEMORY_RETRY_AFTER};
 use amaranth_dispatch::refusal::{Refusal, RefusalCause};
-use amaranth_dispatch::routes::RouteRule;
-use amaranth_dispatch::stop_policy::ExpectedCall;
 use bytes::Bytes;
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -16,9 +14,11 @@
 use crate::answer_body::AnswerBody;
 use crate::call_record::{CallRecord, refuse};
 use crate::caller_memory::CallerMemory;
+use crate::endpoint_selection::SelectedEndpoint;
 use crate::endpoint_selection::{DEFAULT_RETRY_AFTER, UNCONFIGURED_RETRY_AFTER, select};
-use crate::endpoint_send::{MIN_TIME_LEFT, collect, send};
+use crate::endpoint_send::{FailedSend, MIN_TIME_LEFT, collect, send};
 use crate::entry::EntryCore;
+use crate::entry_stop::{answers_due, before_send, expected_call, stop_refusal};
 use crate::leased_read::{ReadFailure, ReadRules, read_request};
 use crate::origin_exchange::required_software;
 use crate::quota_exchange;
@@ -87,12 +87,17 @@
         Ok(caller) => caller,
         Err(refusal) => return Err((head, refusal)),
     };
-    if let Some(refusal) = refuse_when_stopping(core, &head, &route) {
-        return Err((head, refusal));
-    }
     let max_wait = head.max_wait.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrived + max_wait;
-    let body = match read_body(&memory, body, table.limits().body_bytes, deadline).await {
+    let expected = || {
+        let time_left = deadline.saturating_duration_since(Instant::now());
+        expected_call(core, &head, &route, time_left)
+    };
+    if let Some(refusal) = stop_refusal(core, expected) {
+        return Err((head, refusal));
+    }
+    let reading = read_body(&memory, body, table.limits().body_bytes, deadline);
+    let body = match before_send(core, expected, reading).await {
         Ok(body) => body,
         Err(refusal) => return Err((head, refusal)),
     };
@@ -166,22 +171,34 @@
     }
 }
 
-/// Returns a refusal if the process is stopping and would end before the call does.
-fn refuse_when_stopping(core: &EntryCore, head: &CallHead, route: &RouteRule) -> Option<Refusal> {
-    let now = core.now();
-    let policy = core.state().stop_policy?;
-    let expected = ExpectedCall {
-        objective: route.objective,
-        tokens: head
-            .generation
-            .as_ref()
-            .map(GenerationNeed::expected_output),
+/// The end of one send of a call.
+enum AttemptEnd {
+    /// The beginning of a stream, whose events follow.
+    Stream(Response<AnswerBody>),
+    /// A whole answer.
+    Whole(Response<Bytes>),
+    /// No answer for the caller.
+    Failed(FailedSend),
+}
+
+/// Sends a call to an endpoint, and reads its answer or the beginning of its stream.
+async fn attempt(
+    core: &Arc<EntryCore>,
+    call: &Arc<RoutedCall>,
+    selected: SelectedEndpoint,
+    history: &AttemptHistory,
+) -> AttemptEnd {
+    let open = match send(core, call, selected, history, call.start_position()).await {
+        Ok(open) => open,
+        Err(failed) => return AttemptEnd::Failed(failed),
     };
-    if policy.accepts(now, expected) {
-        return None;
+    if open.metadata.is_event_stream {
+        let source = StreamSource::new(open, &call.memory);
+        let begun = stream_relay::begin(core, call, source, history).await;
+        return begun.map_or_else(AttemptEnd::Failed, AttemptEnd::Stream);
     }
-    let delay = policy.retry_after(now);
-    Some(Refusal::with_retry_after(RefusalCause::Stopping, delay))
+    let collected = collect(core, call, open).await;
+    collected.map_or_else(AttemptEnd::Failed, AttemptEnd::Whole)
 }
 
 /// Sends a call, with retries, until an endpoint answers or no further attempt is allowed.
@@ -189,16 +206,20 @@
     let mut history = AttemptHistory::default();
     let mut record = CallRecord::new(&core, &call);
     let mut last_failure: Option<Response<Bytes>> = None;
-    let mut charge = match quota_exchange::charge(&core, &call).await {
+    let expected = || call.expected_call(&core);
+    let charging = quota_exchange::charge(&core, &call);
+    let mut charge = match before_send(&core, expected, charging).await {
         Ok(charge) => charge,
         Err(refusal) => return record.refuse(refusal, &history, None),
     };
-    let software = match required_software(&core, &call).await {
+    let looking_up = required_software(&core, &call);
+    let software = match before_send(&core, expected, looking_up).await {
         Ok(software) => software,
         Err(refusal) => return record.refuse(refusal, &history, None),
     };
     loop {
-        let selected = match select(&core, &call, &history, software.as_ref()).await {
+        let selecting = select(&core, &call, &history, software.as_ref());
+        let selected = match before_send(&core, expected, selecting).await {
             Ok(selected) => selected,
             Err(refusal) => return record.refuse(refusal, &history, last_failure),
         };
@@ -210,22 +231,21 @@
         if let Some(charge) = &mut charge {
             charge.set_may_have_run(true);
         }
-        let failed = match send(&core, &call, selected, &history, call.start_position()).await {
-            Ok(open) if open.metadata.is_event_stream => {
-                let source = StreamSource::new(open, &call.memory);
-                match stream_relay::begin(&core, &call, source, &history).await {
-                    Ok(response) => {
-                        record.defer_to_stream();
-                        return response;
-                    }
-                    Err(failed) => failed,
-                }
+        let end = tokio::select! {
+            biased;
+            end = attempt(&core, &call, selected, &history) => end,
+            () = answers_due(&core) => {
+                let refusal = Refusal::new(RefusalCause::OutcomeUnknown);
+                return record.refuse(refusal, &history, last_failure);
             }
-            Ok(open) => match collect(&core, &call, open).await {
-                Ok(response) => return record.forward(response),
-                Err(failed) => failed,
-            },
-            Err(failed) => failed,
+        };
+        let failed = match end {
+            AttemptEnd::Stream(response) => {
+                record.defer_to_stream();
+                return response;
+            }
+            AttemptEnd::Whole(response) => return record.forward(response),
+            AttemptEnd::Failed(failed) => failed,
         };
         log::info!(
             "event=send_failed id={} endpoint={endpoint} failure={} sends={}",
--- a/crates/amaranth-relay/src/caller_server.rs
+++ b/crates/amaranth-relay/src/caller_server.rs
@@ -8,7 +8,8 @@
 use std::time::Duration;
 
 use amaranth_dispatch::memory_budget::CallPhase;
-use http::{Request, Response, StatusCode};
+use http::header::CONNECTION;
+use http::{HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1::Builder;
 use hyper::service::service_fn;
@@ -203,8 +204,13 @@
         let core = Arc::clone(&core);
         let memory = Arc::clone(&call_memory);
         async move {
-            let answer = call_task::answer(core, Arc::clone(&memory), request).await;
+            let mut answer =
+                call_task::answer(Arc::clone(&core), Arc::clone(&memory), request).await;
             memory.set_phase(CallPhase::Answering);
+            if core.stage.get() == EntryStage::Stopping {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
             Ok::<_, Infallible>(answer)
         }
     });
--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -20,6 +20,7 @@
 use crate::endpoint_pool::{EndpointConnection, SendError};
 use crate::endpoint_selection::{SelectedEndpoint, may_get_calls};
 use crate::entry::EntryCore;
+use crate::entry_stop::stop_refusal;
 use crate::leased_read::{ReadFailure, ReadRules, read_answer};
 use crate::origin_exchange::{OriginReceipt, record_origin};
 use crate::prefill_turn;
@@ -105,6 +106,8 @@
         Some("endpoint-left-alone")
     } else if guard.has_other_software() {
         Some("endpoint-restarted")
+    } else if stop_refusal(core, || call.expected_call(core)).is_some() {
+        Some("stopping")
     } else {
         None
     };
--- a/crates/amaranth-relay/src/entry/mod.rs
+++ b/crates/amaranth-relay/src/entry/mod.rs
@@ -60,6 +60,8 @@
     pub findings_changed: watch::Sender<u64>,
     /// The stage of the process, which readiness checks report.
     pub stage: StageCell,
+    /// The policy for accepting calls after a stop request.
+    pub stop_policy: watch::Sender<Option<StopPolicy>>,
     clock: SuspendClock,
     state: Mutex<EntryState>,
     started_usages: Mutex<BTreeSet<EndpointId>>,
@@ -92,6 +94,7 @@
             quotas: QuotaExchange::default(),
             findings_changed: watch::Sender::new(0),
             stage: StageCell::default(),
+            stop_policy: watch::Sender::new(None),
             clock,
             state: Mutex::new(EntryState::new(options.retries)),
             options,
@@ -124,8 +127,9 @@
     /// Begins to stop: readiness checks fail, and only calls that end within `grace` are accepted.
     pub fn begin_stop(&self, grace: Duration) {
         let now = self.now();
-        self.state().stop_policy = Some(StopPolicy::new(now, grace));
         self.stage.advance(EntryStage::Stopping);
+        self.stop_policy
+            .send_replace(Some(StopPolicy::new(now, grace)));
     }
 
     /// Lets the calls that wait for a place look for one, since some may have become free.
--- a/crates/amaranth-relay/src/entry/state.rs
+++ b/crates/amaranth-relay/src/entry/state.rs
@@ -1,8 +1,9 @@
 //! The state on which the decisions of an entry are based.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use amaranth_core::time::{Timestamp, WallTime};
+use amaranth_dispatch::answer_pace::PaceHistory;
 use amaranth_dispatch::call_quarantine::CallQuarantine;
 use amaranth_dispatch::endpoint_table::EndpointTable;
 use amaranth_dispatch::fleet_size::FleetSize;
@@ -10,7 +11,6 @@
 use amaranth_dispatch::retry_quota::{RetryLimits, RetryQuota};
 use amaranth_dispatch::routes::CurrentConfig;
 use amaranth_dispatch::software_history::SoftwareHistory;
-use amaranth_dispatch::stop_policy::StopPolicy;
 use amaranth_dispatch::store_table::TableFreshness;
 use amaranth_dispatch::version_table::VersionTable;
 use tokio::sync::oneshot;
@@ -40,8 +40,8 @@
     pub quarantine: CallQuarantine,
     /// The software versions of each service.
     pub software: SoftwareHistory,
-    /// The policy for accepting calls after a stop request.
-    pub stop_policy: Option<StopPolicy>,
+    /// The time that recent calls of each route took.
+    pub paces: PaceHistory,
     /// How recent the known configuration is.
     pub config_freshness: TableFreshness,
     /// How recent the known endpoints are.
@@ -64,7 +64,7 @@
             admissions: Admissions::default(),
             quarantine: CallQuarantine::default(),
             software: SoftwareHistory::default(),
-            stop_policy: None,
+            paces: PaceHistory::default(),
             config_freshness: TableFreshness::default(),
             registry_freshness: TableFreshness::default(),
             registry_known: false,
@@ -80,6 +80,15 @@
         self.software.record(now, WallTime::now(), listed)
     }
 
+    /// Forgets the paces of routes that are not configured any more.
+    pub(super) fn retain_paces(&mut self) {
+        let Some(table) = self.config.current() else {
+            return;
+        };
+        let names: HashSet<&str> = table.routes().map(|route| route.name.as_str()).collect();
+        self.paces.retain(|route| names.contains(route));
+    }
+
     pub(super) fn grant_permits(&mut self) {
         while let Some(ticket) = self.load_limiter.try_start() {
             if let Some(permit) = self.permits.remove(&ticket) {
--- a/crates/amaranth-relay/src/entry/updates.rs
+++ b/crates/amaranth-relay/src/entry/updates.rs
@@ -61,6 +61,9 @@
                     if outcome != ConfigOutcome::Known {
                         log::info!("event=config version={version} routes={routes} step={outcome}");
                     }
+                    if outcome == ConfigOutcome::Adopted {
+                        state.retain_paces();
+                    }
                     if outcome == ConfigOutcome::Adopted
                         && let Some(teams) = state.config.current().and_then(|table| table.teams())
                     {
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod engine_port;
 pub mod entry;
 pub mod entry_stage;
+pub mod entry_stop;
 pub mod entry_tasks;
 pub mod event_splitter;
 pub mod feed;
--- a/crates/amaranth-relay/src/routed_call.rs
+++ b/crates/amaranth-relay/src/routed_call.rs
@@ -5,9 +5,11 @@
 
 use amaranth_core::ids::{EndpointId, ServiceName, TeamName};
 use amaranth_core::time::Timestamp;
+use amaranth_dispatch::answer_pace::{PaceRatio, expected_time};
 use amaranth_dispatch::attempts::{AttemptHistory, NextStep, SendFailure};
 use amaranth_dispatch::call::{CallHead, CallProperty, GenerationNeed, RequestDigest};
 use amaranth_dispatch::routes::{EngineRule, RouteRule};
+use amaranth_dispatch::stop_policy::ExpectedCall;
 use bytes::Bytes;
 use http::header::{AUTHORIZATION, COOKIE};
 use http::{HeaderMap, HeaderValue, Method, Uri, request};
@@ -16,6 +18,7 @@
 use crate::caller_memory::CallerMemory;
 use crate::crash_watch;
 use crate::entry::EntryCore;
+use crate::entry_stop;
 use crate::team_access::CallAccess;
 
 /// Time before the caller disconnects at which a call at a silent engine is abandoned: the network
@@ -168,6 +171,19 @@
         self.boottime_deadline.since(core.now())
     }
 
+    /// Returns the expected duration of the call.
+    pub fn expected_call(&self, core: &EntryCore) -> ExpectedCall {
+        entry_stop::expected_call(core, &self.head, &self.route, self.time_left(core))
+    }
+
+    /// Records the time that the call took, which ends now after having been sent.
+    pub fn record_pace(&self, core: &EntryCore) {
+        let tokens = self.need.as_ref().map(|need| need.expected_output());
+        let expected = expected_time(self.route.objective, tokens);
+        let ratio = PaceRatio::of(self.arrived.elapsed(), expected);
+        core.state().paces.record(&self.route.name, ratio);
+    }
+
     /// Returns the number of retries to the call's service that the entry may send now.
     pub fn retries_left(&self, core: &EntryCore) -> u32 {
         core.state().retries.remaining(core.now(), &self.service)
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -409,6 +409,9 @@
 impl Drop for StreamRelay {
     fn drop(&mut self) {
         let took = self.call.arrived.elapsed();
+        if self.outcome == "answered" {
+            self.call.record_pace(&self.core);
+        }
         metrics::histogram!("amaranth_call_seconds").record(took.as_secs_f64());
         metrics::histogram!("amaranth_stream_pause_seconds")
             .record(self.longest_pause.as_secs_f64());
--- a/crates/amaranth-relay/tests/relay/main.rs
+++ b/crates/amaranth-relay/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod refusals;
 mod slow_peers;
 mod software_versions;
+mod stops;
 mod store_histories;
 mod streams;
 mod support;
