Let a stream go on only with events that follow those its caller has

Callers found the text of a failure, or a whole head, in the middle of their stream, events that they had received already, or a stream that ended as if it were complete, when an engine that took up a broken stream answered wrongly. Reported by other operators; it could happen here.

The cause: an answer with any 2xx status and the type of a stream was taken for the rest of the stream, and its events were passed on as they came. An engine that ignored the position, sent a failure as an event, or answered 204 or an empty body was believed.

A stream goes on with an answer of the status that began it; each of its events needs an id behind the last one that was passed on; a body that states its length as zero is no rest of a stream. The same holds for a stream that its caller takes up.

answer_ends.rs lists what is read as the end of an answer (length, chunks, end and reset of the connection, 204, HEAD, interim answers, a head broken off at each byte, a body read again).

crashing_engines.rs: its engines sent a resumed stream from its first event, which the protocol does not allow; they go on behind the stated event now, assertions as before.

--- a/crates/amaranth-relay/src/call_task.rs
+++ b/crates/amaranth-relay/src/call_task.rs
@@ -193,7 +193,9 @@
         Err(failed) => return AttemptEnd::Failed(failed),
     };
     if open.metadata.is_event_stream {
-        let source = StreamSource::new(open, &call.memory);
+        // An engine of another route sends the stream from its beginning.
+        let last = call.head.resume_after.filter(|_| call.route.may_resume());
+        let source = StreamSource::new(open, &call.memory, last);
         let begun = stream_relay::begin(core, call, source, history).await;
         return begun.map_or_else(AttemptEnd::Failed, AttemptEnd::Stream);
     }
--- a/crates/amaranth-relay/src/event_splitter.rs
+++ b/crates/amaranth-relay/src/event_splitter.rs
@@ -1,6 +1,7 @@
 //! Splitting of a stream of server-sent events into complete events, with their bytes unchanged.
 
 use bytes::{Bytes, BytesMut};
+use smallvec::SmallVec;
 
 /// Limit on the size of an incomplete event, in bytes.
 const MAX_EVENT_BYTES: usize = 1 << 20;
@@ -12,6 +13,8 @@
     pub bytes: Bytes,
     /// The id of the last event that has one.
     pub last_id: Option<u64>,
+    /// The ids of the events. Blocks of comments only are left out.
+    pub ids: SmallVec<[Option<u64>; 4]>,
     /// The number of events. Blocks of comments only are not counted.
     pub events: u32,
 }
@@ -27,6 +30,7 @@
     pending: BytesMut,
     line_start: usize,
     has_content: bool,
+    id: Option<u64>,
 }
 
 impl EventSplitter {
@@ -38,18 +42,21 @@
     pub fn push(&mut self, bytes: &[u8]) -> Result<Option<EventBatch>, EventTooLong> {
         self.pending.extend_from_slice(bytes);
         let mut end = 0;
-        let mut events = 0;
+        let mut ids = SmallVec::new();
         let mut line_start = self.line_start;
         while let Some(length) = line_length(&self.pending[line_start..]) {
             let line = &self.pending[line_start..line_start + length];
             line_start += length;
             // Blank lines after a complete event belong to it.
             if matches!(line, b"\n" | b"\r\n") {
-                events += u32::from(self.has_content);
-                self.has_content = false;
+                let id = self.id.take();
+                if std::mem::take(&mut self.has_content) {
+                    ids.push(id);
+                }
                 end = line_start;
             } else {
                 self.has_content |= !line.starts_with(b":");
+                self.id = parse_id(line).or(self.id);
             }
         }
         self.line_start = line_start - end;
@@ -64,7 +71,8 @@
         Ok(Some(EventBatch {
             bytes,
             last_id,
-            events,
+            events: u32::try_from(ids.len()).unwrap_or(u32::MAX),
+            ids,
         }))
     }
 
@@ -89,9 +97,11 @@
 
 /// Returns the last `id` field of a batch of events.
 fn last_id(bytes: &[u8]) -> Option<u64> {
-    bytes
-        .split(|byte| *byte == b'\n')
-        .rev()
-        .filter_map(|line| line.strip_prefix(b"id:"))
-        .find_map(|value| std::str::from_utf8(value).ok()?.trim().parse().ok())
+    bytes.split(|byte| *byte == b'\n').rev().find_map(parse_id)
+}
+
+/// Returns the number in a line with the `id` field.
+fn parse_id(line: &[u8]) -> Option<u64> {
+    let value = line.strip_prefix(b"id:")?;
+    std::str::from_utf8(value).ok()?.trim().parse().ok()
 }
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod entry_stage;
 pub mod entry_stop;
 pub mod entry_tasks;
+pub mod event_sequence;
 pub mod event_splitter;
 pub mod feed;
 pub mod findings_exchange;
--- a/crates/amaranth-relay/src/stream_relay.rs
+++ b/crates/amaranth-relay/src/stream_relay.rs
@@ -10,7 +10,8 @@
 use amaranth_dispatch::memory_budget::{HoldDecision, HoldPurpose};
 use bytes::{Bytes, BytesMut};
 use futures::stream;
-use http::Response;
+use http::header::CONTENT_LENGTH;
+use http::{Response, StatusCode};
 use http_body_util::BodyExt;
 use hyper::body::Frame;
 use tokio::time::{Instant, timeout_at};
@@ -22,6 +23,7 @@
 use crate::endpoint_selection::select;
 use crate::endpoint_send::{FailedSend, OpenAnswer, send};
 use crate::entry::EntryCore;
+use crate::event_sequence::EventSequence;
 use crate::event_splitter::{EventBatch, EventSplitter};
 use crate::origin_exchange::OriginReceipt;
 use crate::read_ahead::{AheadSource, ReadAhead};
@@ -44,6 +46,7 @@
     head: http::response::Parts,
     body: EndpointBody,
     splitter: EventSplitter,
+    sequence: EventSequence,
     connection: EndpointConnection,
     guard: SendGuard,
     origin: Option<OriginReceipt>,
@@ -66,13 +69,15 @@
 }
 
 impl StreamSource {
-    /// Creates the source from an answer that is a stream.
-    pub fn new(answer: OpenAnswer, memory: &Arc<CallerMemory>) -> Self {
+    /// Creates the source from an answer that is a stream and goes on after event `last`, if there is
+    /// one.
+    pub fn new(answer: OpenAnswer, memory: &Arc<CallerMemory>, last: Option<u64>) -> Self {
         let (head, body) = answer.response.into_parts();
         Self {
             head,
             body,
             splitter: EventSplitter::default(),
+            sequence: EventSequence::after(last),
             connection: answer.connection,
             guard: answer.guard,
             origin: answer.origin,
@@ -81,6 +86,12 @@
         }
     }
 
+    /// Returns whether the answer to a resumed stream states that its body is empty. An engine without
+    /// further events ends the stream instead.
+    fn has_no_events(&self) -> bool {
+        self.sequence.is_resumed() && self.head.headers.contains_key(CONTENT_LENGTH)
+    }
+
     /// Returns the first item of the stream that holds an event, with the comments before it.
     async fn first(
         &mut self,
@@ -145,6 +156,9 @@
                     self.guard.record_lost_connection();
                     return StreamStep::broken("the stream ended before its first event");
                 }
+                Ok(None) if !self.guard.has_event() && self.has_no_events() => {
+                    return StreamStep::broken("the resumed stream has no body");
+                }
                 Ok(None) => return StreamStep::Ended,
                 Ok(Some(Err(error))) => {
                     self.guard.record_lost_connection();
@@ -157,6 +171,9 @@
             };
             match self.splitter.push(&data) {
                 Ok(Some(batch)) => {
+                    if let Err(error) = self.sequence.record(&batch) {
+                        return StreamStep::broken(&error.to_string());
+                    }
                     self.partial.shrink_to(self.splitter.pending_bytes());
                     if batch.events > 0 {
                         self.guard.record_events(batch.events);
@@ -218,6 +235,7 @@
         origin.confirmed().await;
     }
     let mut relay = StreamRelay {
+        status: source.head.status,
         core: Arc::clone(core),
         call: Arc::clone(call),
         source: Some(source),
@@ -280,6 +298,8 @@
     source: Option<StreamSource>,
     history: AttemptHistory,
     position: AnswerPosition,
+    /// The status of the answer that began the stream.
+    status: StatusCode,
     /// The version at which the stream began, which is that of each engine at which it goes on.
     software: SoftwareVersion,
     events: u32,
@@ -315,6 +335,11 @@
         }
     }
 
+    /// Returns whether an answer may hold the rest of the stream.
+    fn goes_on_with(&self, answer: &OpenAnswer) -> bool {
+        answer.metadata.is_event_stream && answer.response.status() == self.status
+    }
+
     fn record(&mut self, batch: EventBatch) -> Bytes {
         if batch.events > 0 {
             if self.events > 0 {
@@ -386,8 +411,9 @@
             )
             .await
             {
-                Ok(answer) if answer.metadata.is_event_stream => {
-                    let mut source = StreamSource::new(answer, &self.call.memory);
+                Ok(answer) if self.goes_on_with(&answer) => {
+                    let last = self.position.last_event;
+                    let mut source = StreamSource::new(answer, &self.call.memory, last);
                     source.guard.record_first_token();
                     log::info!(
                         "event=stream_resumed id={} endpoint={endpoint} software={} last_event={}",
--- a/crates/amaranth-relay/tests/relay/crashing_engines.rs
+++ b/crates/amaranth-relay/tests/relay/crashing_engines.rs
@@ -141,13 +141,16 @@
             parts.split(',').any(|part| part == CRASHING_PART) || request.ends_with(CRASHING_BODY);
         let is_stream = header(&request, "wants").is_some();
         let head = stream_head(&call);
+        let last = header(&request, "after-event").map_or(0, |last| {
+            last.parse::<u64>().expect("the header is a number")
+        });
         if is_crashing {
             let mut records = records.lock().expect("no task panicked");
             records.crashing_arrivals.push(Instant::now());
         }
         let pieces = match (is_stream, is_crashing) {
             (true, true) => vec![head],
-            (true, false) => vec![head + &event(1), event(2) + LAST_CHUNK],
+            (true, false) => vec![head + &event(last + 1), event(last + 2) + LAST_CHUNK],
             (false, true) => vec![String::new()],
             (false, false) => vec![complete_answer("200 OK", &call, "done")],
         };
--- a/crates/amaranth-relay/tests/relay/main.rs
+++ b/crates/amaranth-relay/tests/relay/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod agent_peers;
+mod answer_ends;
 mod calls;
 mod crashing_engines;
 mod endless;
