Hand back what entries wait for when an agent stops, and end its order

An agent that got SIGTERM closed its connections at once: loads and turns that it had accepted were cut, and entries counted it as lost. Its order loop went on for 300 ms, began further orders for loads that nobody waited for any more, and was ended whatever it was doing, so that the order in flight could be left without an answer.

A stopping agent now answers waiting loads with unavailable, with which entries try another engine, lets waiting prompts go without a turn, begins no further order, awaits the answer of the one in flight, and closes its connections last.

The test of loads fails with the sequence of before (agent_stop::stop replaced by it); the one of turns needs begin_stop, which did not exist.

--- a/crates/amaranth-relay/src/agent.rs
+++ b/crates/amaranth-relay/src/agent.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -44,6 +45,7 @@
     turn_waiters: Mutex<HashMap<TurnId, oneshot::Sender<TurnGrant>>>,
     changed: Notify,
     requested: Notify,
+    is_stopping: AtomicBool,
 }
 
 impl Default for AgentCore {
@@ -61,6 +63,7 @@
             turn_waiters: Mutex::default(),
             changed: Notify::new(),
             requested: Notify::new(),
+            is_stopping: AtomicBool::new(false),
         }
     }
 }
@@ -110,6 +113,9 @@
 
     /// Returns the next order to the engine, if one is due.
     pub fn next_order(&self) -> Option<GuardedOrder> {
+        if self.is_stopping() {
+            return None;
+        }
         let now = self.now();
         self.manager().next_order(now)
     }
@@ -129,6 +135,29 @@
         }
     }
 
+    /// Begins to stop: no further order is due, and entries that wait for a load or a turn get an
+    /// answer with which they go on without this agent.
+    pub fn begin_stop(&self) {
+        self.is_stopping.store(true, Ordering::Release);
+        let loads = std::mem::take(&mut *self.waiters());
+        for waiter in loads.into_values() {
+            // Sending fails if the entry no longer waits.
+            let _ = waiter.send(LoadOutcome::Unavailable);
+        }
+        let turns = std::mem::take(&mut *self.turn_waiters());
+        for waiter in turns.into_values() {
+            let _ = waiter.send(TurnGrant::default());
+        }
+        self.changed.notify_waiters();
+        self.findings_changed.notify_waiters();
+        self.requested.notify_one();
+    }
+
+    /// Returns whether the agent is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.is_stopping.load(Ordering::Acquire)
+    }
+
     /// Waits until an entry sends usage or a load request.
     pub async fn requested(&self) {
         self.requested.notified().await;
@@ -140,7 +169,7 @@
         if settled.is_empty() {
             return;
         }
-        let mut waiters = self.waiters.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut waiters = self.waiters();
         for (id, outcome) in settled {
             if let Some(waiter) = waiters.remove(&id) {
                 // Sending fails if the entry no longer waits.
@@ -149,6 +178,10 @@
         }
     }
 
+    fn waiters(&self) -> MutexGuard<'_, HashMap<LoadRequestId, oneshot::Sender<LoadOutcome>>> {
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn turn_waiters(&self) -> MutexGuard<'_, HashMap<TurnId, oneshot::Sender<TurnGrant>>> {
         self.turn_waiters
             .lock()
@@ -177,8 +210,8 @@
         let max_wait = request.max_wait;
         let turn = {
             let mut manager = self.manager();
-            if manager.endpoint() != Some(&request.endpoint) {
-                // Another incarnation of the engine answers, and the entry learns of it by itself.
+            if self.is_stopping() || manager.endpoint() != Some(&request.endpoint) {
+                // If another incarnation of the engine answers, the entry learns of it by itself.
                 return TurnGrant::default();
             }
             let turn = manager.enqueue_prompt(&request);
@@ -302,19 +335,17 @@
                 return LoadOutcome::Held;
             }
             let id = manager.enqueue(now, request);
-            self.waiters
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner)
-                .insert(id, waiter);
+            if self.is_stopping() {
+                manager.cancel(id);
+                return LoadOutcome::Unavailable;
+            }
+            self.waiters().insert(id, waiter);
             id
         };
         self.requested.notify_one();
         let outcome = timeout(max_wait, outcome).await;
         self.manager().cancel(id);
-        self.waiters
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .remove(&id);
+        self.waiters().remove(&id);
         match outcome {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(_)) => LoadOutcome::Unavailable,
--- a/crates/amaranth-relay/src/lib.rs
+++ b/crates/amaranth-relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod agent;
 pub mod agent_link;
+pub mod agent_stop;
 pub mod answer_body;
 pub mod answer_classification;
 pub mod call_codec;
--- a/crates/amaranth-relay/src/order_loop.rs
+++ b/crates/amaranth-relay/src/order_loop.rs
@@ -47,7 +47,8 @@
     }
 }
 
-/// Reads reports and sends orders without end. No order is sent before the fencing token is known.
+/// Reads reports and sends orders until the agent stops. No order is sent before the fencing token is
+/// known.
 pub async fn run<Port: EnginePort>(
     core: Arc<AgentCore>,
     port: Arc<Port>,
@@ -58,7 +59,7 @@
     let mut known_token = None;
     let mut is_unreachable = false;
     let mut report_due = Instant::now();
-    loop {
+    while !core.is_stopping() {
         if core.needs_report() || Instant::now() >= report_due {
             let interval = match port.report().await {
                 Ok(contents) => {
--- a/crates/amaranth-relay/tests/relay/loads.rs
+++ b/crates/amaranth-relay/tests/relay/loads.rs
@@ -12,10 +12,13 @@
 };
 use amaranth_relay::agent::{self, AgentCore};
 use amaranth_relay::agent_link::AgentLinks;
+use amaranth_relay::agent_stop;
 use amaranth_relay::engine_port::{EnginePort, PortError, TokenSource};
 use amaranth_relay::order_loop;
 use amaranth_relay::shared_loads::{LoadKey, SharedLoads};
 use amaranth_relay::store_reader::{ReaderOptions, StoreReader};
+use amaranth_wire::transport::ServerHandle;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 fn name<Name: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> Name {
@@ -64,10 +67,16 @@
     contents: Mutex<EngineContents>,
     orders: Mutex<Vec<(GuardedOrder, FencingToken)>>,
     lose_answers: bool,
+    order_time: Duration,
+    answered: AtomicU32,
 }
 
 impl FakeEngine {
     fn new(lose_answers: bool) -> Arc<Self> {
+        Self::with_order_time(lose_answers, Duration::ZERO)
+    }
+
+    fn with_order_time(lose_answers: bool, order_time: Duration) -> Arc<Self> {
         Arc::new(Self {
             contents: Mutex::new(EngineContents {
                 models: vec![name("m")],
@@ -76,6 +85,8 @@
             }),
             orders: Mutex::default(),
             lose_answers,
+            order_time,
+            answered: AtomicU32::new(0),
         })
     }
 }
@@ -86,11 +97,13 @@
     }
 
     async fn order(&self, order: &GuardedOrder, token: FencingToken) -> OrderAnswer {
-        let mut contents = self.contents.lock().expect("no task panicked");
         self.orders
             .lock()
             .expect("no task panicked")
             .push((order.clone(), token));
+        sleep(self.order_time).await;
+        self.answered.fetch_add(1, Ordering::SeqCst);
+        let mut contents = self.contents.lock().expect("no task panicked");
         if order.expected_count != contents.order_count {
             return OrderAnswer::Conflict;
         }
@@ -155,22 +168,39 @@
 }
 
 async fn start_agent(engine: &Arc<FakeEngine>) -> (SocketAddr, impl Sized) {
-    let core = Arc::new(AgentCore::default());
-    let address = "127.0.0.1:0".parse().expect("the address is valid");
-    let reader = Arc::new(StoreReader::new(ReaderOptions {
-        incarnation: 1,
-        config_bound: Duration::from_secs(2),
-        drain_bound: Duration::from_secs(2),
-    }));
-    let server = agent::bind(Arc::clone(&core), reader, address)
-        .await
-        .expect("loopback has a free port");
-    let orders = tokio::spawn(order_loop::run(
-        core,
-        Arc::clone(engine),
-        UnreliableTokens::default(),
-    ));
-    (server.address(), (server, orders))
+    let agent = RunningAgent::spawn(engine).await;
+    (agent.server.address(), agent)
+}
+
+struct RunningAgent {
+    core: Arc<AgentCore>,
+    server: ServerHandle,
+    orders: JoinHandle<()>,
+}
+
+impl RunningAgent {
+    async fn spawn(engine: &Arc<FakeEngine>) -> Self {
+        let core = Arc::new(AgentCore::default());
+        let address = "127.0.0.1:0".parse().expect("the address is valid");
+        let reader = Arc::new(StoreReader::new(ReaderOptions {
+            incarnation: 1,
+            config_bound: Duration::from_secs(2),
+            drain_bound: Duration::from_secs(2),
+        }));
+        let server = agent::bind(Arc::clone(&core), reader, address)
+            .await
+            .expect("loopback has a free port");
+        let orders = tokio::spawn(order_loop::run(
+            Arc::clone(&core),
+            Arc::clone(engine),
+            UnreliableTokens::default(),
+        ));
+        Self {
+            core,
+            server,
+            orders,
+        }
+    }
 }
 
 #[tokio::test]
@@ -234,3 +264,32 @@
     assert!(changed.is_ok());
     assert!(started.elapsed() < Duration::from_millis(2_000));
 }
+
+/// Guards against loads that entries wait for in vain, and an order that is cut, when an agent stops.
+#[tokio::test]
+async fn a_stopping_agent_hands_back_waiting_loads_and_ends_the_order_in_flight() {
+    let engine = FakeEngine::with_order_time(false, Duration::from_millis(200));
+    let RunningAgent {
+        core,
+        server,
+        orders,
+    } = RunningAgent::spawn(&engine).await;
+    let links = AgentLinks::default();
+    let load = |adapter| links.prepare(server.address(), usage(0), load_request(adapter));
+    let stopping = async {
+        while engine.orders.lock().expect("no task panicked").is_empty() {
+            sleep(Duration::from_millis(5)).await;
+        }
+        agent_stop::stop(&core, orders, &server).await
+    };
+    let started = std::time::Instant::now();
+    let (first, second, has_ended) = tokio::join!(load("a1"), load("a2"), stopping);
+    assert!(started.elapsed() < Duration::from_secs(2));
+    assert_eq!(
+        (first, second),
+        (Ok(LoadOutcome::Unavailable), Ok(LoadOutcome::Unavailable))
+    );
+    assert!(has_ended);
+    assert_eq!(engine.answered.load(Ordering::SeqCst), 1);
+    assert_eq!(engine.orders.lock().expect("no task panicked").len(), 1);
+}
--- a/crates/amaranth-relay/tests/relay/turns.rs
+++ b/crates/amaranth-relay/tests/relay/turns.rs
@@ -16,13 +16,18 @@
 
 /// Starts an agent to which an entry has named the engine `e0`.
 async fn start_agent() -> (SocketAddr, impl Sized) {
+    start_agent_of(Arc::new(AgentCore::default())).await
+}
+
+/// Starts an agent with this state.
+async fn start_agent_of(core: Arc<AgentCore>) -> (SocketAddr, impl Sized) {
     let reader = Arc::new(StoreReader::new(ReaderOptions {
         incarnation: 1,
         config_bound: Duration::from_secs(2),
         drain_bound: Duration::from_secs(2),
     }));
     let address = "127.0.0.1:0".parse().expect("the address is valid");
-    let server = agent::bind(Arc::new(AgentCore::default()), reader, address)
+    let server = agent::bind(core, reader, address)
         .await
         .expect("loopback has a free port");
     let usage = UsageReport {
@@ -212,3 +217,23 @@
     assert!(first < Duration::from_millis(500), "{first:?}");
     assert!(second < Duration::from_millis(500), "{second:?}");
 }
+
+/// Guards against prompts that wait for the turn of an agent that has stopped.
+#[tokio::test]
+async fn a_stopping_agent_hands_back_the_prompts_that_wait() {
+    let core = Arc::new(AgentCore::default());
+    let (address, _agent) = start_agent_of(Arc::clone(&core)).await;
+    let links = AgentLinks::default();
+    let first = links.take_turn(address, request(500)).await;
+    first.expect("the agent answers");
+    let begun = Instant::now();
+    let stopping = async {
+        sleep(Duration::from_millis(100)).await;
+        core.begin_stop();
+    };
+    let (waiting, ()) = tokio::join!(links.take_turn(address, request(5_000)), stopping);
+    assert_eq!(waiting, Ok(TurnGrant::default()));
+    let later = links.take_turn(address, request(5_000)).await;
+    assert_eq!(later, Ok(TurnGrant::default()));
+    assert!(begun.elapsed() < Duration::from_secs(1));
+}
