Close the connection of a request that a draining entry refuses

Callers of the product's own interface that keep their connections sent request after request to an entry that drains, and got a refusal for each until its last stream had ended. The refusal closes the connection now. The test fails without it: no such header.

--- a/crates/amaranth-entry/src/http/api_errors.rs
+++ b/crates/amaranth-entry/src/http/api_errors.rs
@@ -1,6 +1,6 @@
 //! Error answers in the format of the OpenAI API.
 
-use amaranth_core::errors::{Error, RetryAdvice, RunState};
+use amaranth_core::errors::{Error, ErrorKind, RetryAdvice, RunState};
 use amaranth_core::ids::{ConfigRevision, RequestId};
 use axum::body::Body;
 use axum::http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
@@ -86,6 +86,10 @@
         let json = HeaderValue::from_static("application/json");
         headers.insert(header::CONTENT_TYPE, json);
         self.labels.write(answer.run, headers);
+        if self.error.kind == ErrorKind::Draining {
+            // The caller's next request goes to another entry.
+            headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
         if let Some(seconds) = retry_after_seconds(&self.error) {
             headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
         }
--- a/crates/amaranth-entry/tests/entry/completions.rs
+++ b/crates/amaranth-entry/tests/entry/completions.rs
@@ -206,6 +206,29 @@
     draining.await.expect("the drain completes");
 }
 
+/// Guards against callers that go on sending to an entry that refuses all their requests.
+#[tokio::test]
+async fn a_draining_entry_refuses_at_once_and_closes_the_connection() {
+    let script = AnswerScript {
+        ready_at_once: 1,
+        ..AnswerScript::all_ready(&[CHAT_CHUNKS[0]; 200])
+    };
+    let fixture = spawn_fixture(script).await;
+    let send = || {
+        let caller = &fixture.caller;
+        caller.send(Method::POST, "/v1/chat/completions", &[], STREAMED_CHAT)
+    };
+    let running = send().await;
+    let draining = tokio::spawn(fixture.entry.drain());
+    tokio::task::yield_now().await;
+    let refused = send().await;
+    assert_eq!(refused.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.headers()["connection"], "close");
+    assert_eq!(refused.headers()["x-amaranth-run"], "not_run");
+    drop((running, refused));
+    draining.await.expect("the drain completes");
+}
+
 #[tokio::test]
 async fn models_are_listed() {
     let fixture = spawn_fixture(AnswerScript::all_ready(&CHAT_CHUNKS)).await;
