Close a gap between a request to a stopping agent and the answers to its waiters

A load or turn that arrived while the stop took the waiters could have waited for its whole time; the check and the entry in the list are under one lock now.

--- a/crates/amaranth-dispatch/src/answer_pace.rs
+++ b/crates/amaranth-dispatch/src/answer_pace.rs
@@ -52,6 +52,7 @@
 
     fn from_str(text: &str) -> Result<Self, ParseFloatError> {
         let ratio: f64 = text.parse()?;
+        let ratio = if ratio.is_nan() { 0.0 } else { ratio };
         Ok(Self(ratio.clamp(0.0, MAX_RATIO)))
     }
 }
--- a/crates/amaranth-dispatch/src/stop_policy.rs
+++ b/crates/amaranth-dispatch/src/stop_policy.rs
@@ -53,7 +53,7 @@
 }
 
 impl ExpectedCall {
-    /// Returns the time that a call of this kind took in the worst case.
+    /// Returns the time within which a call ends even at a slow endpoint.
     fn slowest_time(&self) -> Option<Duration> {
         let pace = self.pace?.slowest;
         let slowest = pace.time_of(self.objective).mul_f64(LATE_SAFETY);
@@ -84,9 +84,8 @@
 
     /// Returns the time at which the calls that have not ended have to be answered.
     pub fn answers_due_at(&self) -> Timestamp {
-        let reserved = self.deadline.since(self.requested_at) / 2;
-        let reserve = ANSWER_RESERVE.min(reserved);
-        self.requested_at + (self.deadline.since(self.requested_at) - reserve)
+        let grace = self.deadline.since(self.requested_at);
+        self.requested_at + (grace - ANSWER_RESERVE.min(grace / 2))
     }
 
     /// Returns whether a call that is not sent yet ends in time.
--- a/crates/amaranth-relay/src/agent.rs
+++ b/crates/amaranth-relay/src/agent.rs
@@ -210,12 +210,13 @@
         let max_wait = request.max_wait;
         let turn = {
             let mut manager = self.manager();
+            let mut waiters = self.turn_waiters();
             if self.is_stopping() || manager.endpoint() != Some(&request.endpoint) {
                 // If another incarnation of the engine answers, the entry learns of it by itself.
                 return TurnGrant::default();
             }
             let turn = manager.enqueue_prompt(&request);
-            self.turn_waiters().insert(turn, waiter);
+            waiters.insert(turn, waiter);
             turn
         };
         let mut waiting = WaitingTurn {
@@ -335,11 +336,13 @@
                 return LoadOutcome::Held;
             }
             let id = manager.enqueue(now, request);
+            // The stop answers all waiters that are known when it takes this lock.
+            let mut waiters = self.waiters();
             if self.is_stopping() {
                 manager.cancel(id);
                 return LoadOutcome::Unavailable;
             }
-            self.waiters().insert(id, waiter);
+            waiters.insert(id, waiter);
             id
         };
         self.requested.notify_one();
--- a/crates/amaranth-relay/src/entry_stop.rs
+++ b/crates/amaranth-relay/src/entry_stop.rs
@@ -27,11 +27,11 @@
 /// Interval at which a waiting call is reviewed while the process stops.
 const REVIEW_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The balancer still sends calls.
+/// The stage of a stop in which the balancer still sends calls.
 #[derive(Debug, Clone, Copy)]
 pub struct Announced;
 
-/// No connection is kept after its current answer.
+/// The stage of a stop in which no connection is kept after its current answer.
 #[derive(Debug, Clone, Copy)]
 pub struct Draining;
 
@@ -123,7 +123,8 @@
     Some(Refusal::with_retry_after(RefusalCause::Stopping, delay))
 }
 
-/// Returns the output of a step before a call is sent.
+/// Waits for a step before a call is sent, and returns its output. The step is dropped when the call
+/// would outlast the process.
 ///
 /// # Errors
 ///
