Take up a stream that breaks while its entry stops

A resumable stream that had begun and broke during a planned stop did not go on: its caller got no further event.

The cause: the check before a send refused it as a call that may outlast the process, which counts as not run, and a place was selected for it again at once, without end. A call whose place is ready at once could repeat in the same way between its two checks.

The check before the send applies only while nothing was forwarded; a stream that has begun was accepted. before_send decides before its step is tried, so that a refused send ends.

--- a/crates/amaranth-relay/src/endpoint_send.rs
+++ b/crates/amaranth-relay/src/endpoint_send.rs
@@ -106,7 +106,9 @@
         Some("endpoint-left-alone")
     } else if guard.has_other_software() {
         Some("endpoint-restarted")
-    } else if stop_refusal(core, || call.expected_call(core)).is_some() {
+    } else if position == call.start_position()
+        && stop_refusal(core, || call.expected_call(core)).is_some()
+    {
         Some("stopping")
     } else {
         None
--- a/crates/amaranth-relay/src/entry_stop.rs
+++ b/crates/amaranth-relay/src/entry_stop.rs
@@ -134,6 +134,10 @@
     expected: impl Fn() -> ExpectedCall,
     step: impl Future<Output = Result<T, Refusal>>,
 ) -> Result<T, Refusal> {
+    // A step that is ready at once would otherwise be repeated without end.
+    if let Some(refusal) = stop_refusal(core, &expected) {
+        return Err(refusal);
+    }
     tokio::select! {
         biased;
         outcome = step => outcome,
--- a/crates/amaranth-relay/tests/relay/stops.rs
+++ b/crates/amaranth-relay/tests/relay/stops.rs
@@ -222,3 +222,24 @@
     let rest = read_to_end(&mut connection).await;
     assert!(rest.contains("t2") && rest.ends_with(LAST_CHUNK), "{rest}");
 }
+
+/// Guards against a stream that is sent again and again, and never goes on, when it breaks during a stop.
+#[tokio::test]
+async fn a_stream_that_breaks_during_a_stop_goes_on_at_another_engine() {
+    let broken = vec![
+        (0, stream_head("c1") + &event(1)),
+        (200, "zz\r\n".to_owned()),
+    ];
+    let rest = stream_head("c1") + &event(2) + LAST_CHUNK;
+    let replies = vec![Reply::Pieces(broken), Reply::Write(rest)];
+    let endpoint = FakeEndpoint::bind(replies).await;
+    let entry = TestEntry::serving(route(RouteKind::Stream, true, 3), &[&endpoint]);
+    let mut connection = entry.connect().await;
+    send(&mut connection, &kept("c1")).await;
+    read_until(&mut connection, "t1").await;
+    entry.core.begin_stop(GRACE);
+    entry.server.disable_keep_alive();
+    let rest = read_to_end(&mut connection).await;
+    assert!(rest.contains("t2"), "{rest}");
+    assert_eq!(endpoint.arrivals().len(), 2);
+}
